Lay out the workspace: packages, kernel, interfaces and protocols

Cause: nothing existed, and the parts need common ground before they can be built side by side.

Conclusion: the interfaces stand; request path, routing, fleet, proof and operator work can start beside each other.

--- /dev/null
+++ b/src/libs/core/periodic_task.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace almondtiller::core {
+
+/// Runs a function on a thread of its own, again and again, waiting between
+/// runs for as long as the function asks.
+class periodic_task
+{
+public:
+    /// Does one run and returns the pause before the next one.
+    using body = std::function<duration()>;
+
+    periodic_task(const runtime_clock& clock, body run);
+    ~periodic_task();
+    periodic_task(const periodic_task&) = delete;
+    auto operator=(const periodic_task&) -> periodic_task& = delete;
+
+    /// Ends the current pause, so that the next run starts at once.
+    auto wake() -> void;
+
+    /// Stops after the current run and joins the thread. Idempotent.
+    auto stop() -> void;
+
+private:
+    auto loop() -> void;
+
+    const runtime_clock& clock;
+    body run;
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool woken = false;
+    bool stopping = false;
+    std::thread thread;
+};
+
+} // namespace almondtiller::core
--- /dev/null
+++ b/src/libs/fleet/config_source.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "settings/snapshot.h"
+
+#include <functional>
+
+namespace almondtiller::fleet {
+
+/// The configuration in force at this node. Implemented by the service
+/// "config".
+class config_source
+{
+public:
+    using change_handler = std::function<void(settings::snapshot_ptr)>;
+
+    config_source() = default;
+    virtual ~config_source() = default;
+    config_source(const config_source&) = delete;
+    auto operator=(const config_source&) -> config_source& = delete;
+
+    /// \return Never null; revision 0 before any configuration is known.
+    [[nodiscard]] virtual auto current() const -> settings::snapshot_ptr = 0;
+
+    /// Calls \a handler with each newer snapshot, in order, on one thread.
+    virtual auto on_change(change_handler handler) -> void = 0;
+};
+
+/// The name of the service that implements config_source.
+constexpr auto config_service_name = "config";
+
+} // namespace almondtiller::fleet
--- /dev/null
+++ b/src/libs/fleet/fleet_errc.cpp
@@ -0,0 +1,39 @@
+#include "fleet/fleet_errc.h"
+
+#include <array>
+
+namespace almondtiller::fleet {
+
+namespace {
+
+using core::error_entry;
+
+constexpr auto entries = std::array{
+    error_entry{int(fleet_errc::peer_unreachable), "peer_unreachable",
+                "the peer could not be reached"},
+    error_entry{int(fleet_errc::peer_timeout), "peer_timeout",
+                "the peer did not answer in time"},
+    error_entry{int(fleet_errc::unknown_topic), "unknown_topic",
+                "the peer has no handler for the topic"},
+    error_entry{int(fleet_errc::malformed_message), "malformed_message",
+                "a message could not be decoded"},
+    error_entry{int(fleet_errc::stale_revision), "stale_revision",
+                "the configuration is older than the one in force"},
+    error_entry{int(fleet_errc::digest_mismatch), "digest_mismatch",
+                "a shard does not have the digest that the head names"},
+};
+
+} // namespace
+
+auto fleet_category() -> const core::table_category&
+{
+    static const auto category = core::table_category("fleet", entries);
+    return category;
+}
+
+auto make_error_code(fleet_errc code) -> std::error_code
+{
+    return {int(code), fleet_category()};
+}
+
+} // namespace almondtiller::fleet
--- /dev/null
+++ b/src/libs/fleet/fleet_errc.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/errc.h"
+
+#include <system_error>
+
+namespace almondtiller::fleet {
+
+/// Why nodes could not act together.
+enum class fleet_errc
+{
+    peer_unreachable = 1,
+    peer_timeout,
+    unknown_topic,
+    malformed_message,
+    stale_revision,
+    digest_mismatch,
+};
+
+[[nodiscard]] auto fleet_category() -> const core::table_category&;
+[[nodiscard]] auto make_error_code(fleet_errc code) -> std::error_code;
+
+} // namespace almondtiller::fleet
+
+template <>
+struct std::is_error_code_enum<almondtiller::fleet::fleet_errc> : std::true_type
+{};
--- /dev/null
+++ b/src/libs/platform/platform_errc.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/errc.h"
+
+#include <system_error>
+
+namespace almondtiller::platform {
+
+/// Why a call to the platform gave no value. Only outcome_unknown leaves open
+/// whether a write took effect; after every other error it did not.
+enum class platform_errc
+{
+    not_found = 1,
+    already_exists,
+    version_conflict,
+    rate_limited,
+    unavailable,
+    outcome_unknown,
+    value_too_large,
+    malformed_answer,
+    watch_expired,
+};
+
+[[nodiscard]] auto platform_category() -> const core::table_category&;
+[[nodiscard]] auto make_error_code(platform_errc code) -> std::error_code;
+
+} // namespace almondtiller::platform
+
+template <>
+struct std::is_error_code_enum<almondtiller::platform::platform_errc>
+    : std::true_type
+{};
--- /dev/null
+++ b/src/libs/settings/settings.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// Entry header of the settings package: the tree of declarations, its
+/// resolution into effective values, and the immutable snapshot that the rest
+/// of the system reads. Values are immutable and may be shared by threads.
+
+#include "settings/effective.h"
+#include "settings/settings_errc.h"
+#include "settings/snapshot.h"
+#include "settings/tree.h"
