--- a/src/libs/settings/tree.cpp
+++ b/src/libs/settings/tree.cpp
@@ -1,5 +1,6 @@
 #include "settings/tree.h"
 
+#include "settings/quantity.h"
 #include "settings/settings_errc.h"
 
 #include <nlohmann/json.hpp>
@@ -12,18 +13,14 @@
 
 using nlohmann::json;
 
-constexpr auto milliseconds_per_second = 1000;
-
-auto parse_duration(const json& value, milliseconds fallback) -> milliseconds
+auto duration_or(const json& value, milliseconds fallback) -> milliseconds
 {
     if (!value.is_string()) {
         return fallback;
     }
-    const auto text = value.get<std::string>();
-    auto used = std::size_t(0);
-    const auto number = std::stoll(text, &used);
-    return milliseconds(
-        text.substr(used) == "s" ? number * milliseconds_per_second : number);
+    const auto parsed =
+        settings::parse_duration(value.get_ref<const std::string&>());
+    return parsed ? parsed.value() : fallback;
 }
 
 /// \return The member of that name, or an empty object.
@@ -63,7 +60,7 @@
     auto read(const char* key, milliseconds& target) const -> void
     {
         if (const auto* found = this->find(key)) {
-            target = parse_duration(*found, target);
+            target = duration_or(*found, target);
         }
     }
 
@@ -206,6 +203,16 @@
     return *this->json == *other.json;
 }
 
+auto to_string(const finding& finding) -> std::string
+{
+    auto line = finding.file.empty() ? "" : finding.file + ": ";
+    if (!finding.path.empty()) {
+        line += finding.path + ": ";
+    }
+    return line + "found " + finding.found + ", allowed is " + finding.allowed +
+           " [" + core::error_name(finding.code) + "]";
+}
+
 auto validate(const declaration_tree& tree) -> std::vector<finding>
 {
     static_cast<void>(tree);
--- a/src/libs/settings/tree.h
+++ b/src/libs/settings/tree.h
@@ -24,6 +24,9 @@
     auto operator==(const finding&) const -> bool = default;
 };
 
+/// \return One line: file, path, what was found, what is allowed, the code.
+[[nodiscard]] auto to_string(const finding& finding) -> std::string;
+
 /// The declarations as operators wrote them, before inheritance. A tree is a
 /// JSON object with the members root, pipelines, pools, zones and workspaces.
 class declaration_tree
