--- a/src/services/node/node_service.h
+++ b/src/services/node/node_service.h
@@ -4,6 +4,8 @@
 #include "kernel/service.h"
 
 #include <atomic>
+#include <string>
+#include <vector>
 
 namespace almondtiller::services {
 
@@ -14,9 +16,14 @@
 class node_service : public kernel::service
 {
 public:
-    explicit node_service(fleet::member identity);
+    /// \param identity With an empty address: it becomes \a advertise and
+    ///        the port that the HTTP service has bound.
+    /// \param advertise IP number.
+    node_service(fleet::member identity, std::string advertise);
 
     [[nodiscard]] auto name() const -> std::string_view override;
+    [[nodiscard]] auto dependencies() const
+        -> std::vector<std::string> override;
     auto initialize(kernel::service_kernel& kernel) -> std::error_code override;
 
     [[nodiscard]] auto identity() const -> const fleet::member&;
@@ -27,6 +34,7 @@
 
 private:
     fleet::member self;
+    std::string advertise;
     std::atomic<bool> leaving = false;
 };
 
