--- a/cmake/toolchain.cmake
+++ b/cmake/toolchain.cmake
@@ -19,6 +19,6 @@
 
 add_compile_options(-Wall -Wextra -Wpedantic -Wshadow=local)
 if(CMAKE_CXX_COMPILER_ID STREQUAL GNU)
-    # False positives inside nlohmann/json with GCC 12 at -O3.
-    add_compile_options(-Wno-maybe-uninitialized)
+    # False positives of GCC 12 at -O3, in nlohmann/json and std::string.
+    add_compile_options(-Wno-maybe-uninitialized -Wno-restrict)
 endif()
