Publish configuration by one conditional update and follow it

Cause: nodes and operators need one meaning of an accepted change, also when the store's answer is lost.

--- /dev/null
+++ b/src/libs/fleet/config_publisher.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "fleet/config_head.h"
+#include "fleet/config_shards.h"
+#include "platform/object_store.h"
+#include "settings/tree.h"
+
+#include <optional>
+
+namespace almondtiller::fleet {
+
+/// What an operator states about a change; kept with it.
+struct change_info
+{
+    std::string who;
+    std::string what;
+
+    auto operator==(const change_info&) const -> bool = default;
+};
+
+enum class change_state
+{
+    applied,
+    not_applied, ///< And never will be.
+    unknown,     ///< The store could not be asked in time.
+};
+
+/// How the state of a change was found out.
+enum class change_evidence
+{
+    answer,      ///< The store answered the update.
+    head_reread, ///< The head's list of changes was read again.
+    head_fenced, ///< The head was still the old one, and a rewrite of it made
+                 ///< sure that the update cannot take effect any more.
+    not_sent,    ///< The update of the head was never sent.
+    none,        ///< For unknown states.
+};
+
+/// What became of a change.
+struct change_outcome
+{
+    change_state state = change_state::unknown;
+    /// In force after the change when applied; else the newest one seen.
+    std::uint64_t revision = 0;
+    std::error_code reason; ///< Why it was not applied or is not known.
+    change_evidence evidence = change_evidence::none;
+    std::string id;
+
+    auto operator==(const change_outcome&) const -> bool = default;
+};
+
+/// The configuration as it is on the platform.
+struct stored_config
+{
+    settings::declaration_tree tree;
+    std::uint64_t revision = 0;
+    zone_states zones;
+    std::vector<change_record> changes;
+};
+
+[[nodiscard]] auto to_string(change_state state) -> std::string;
+[[nodiscard]] auto to_string(change_evidence evidence) -> std::string;
+
+/// Changes the configuration on the platform. A change is accepted by one
+/// conditional update of the head; nothing is retried after an outcome was
+/// returned. Calls block; one thread at a time.
+class config_publisher
+{
+public:
+    /// \param patience How long one change may take, lost answers included.
+    config_publisher(platform::object_store& store,
+                     const core::runtime_clock& clock, std::uint64_t seed,
+                     core::milliseconds patience = core::milliseconds(5000));
+
+    /// Replaces the declarations. A zone's state in the head follows its
+    /// declaration only where the declared state changes.
+    /// \param expected_revision Refuses with fleet_errc::revision_conflict
+    ///        when another revision is in force.
+    auto publish(const settings::declaration_tree& wanted,
+                 const change_info& info,
+                 std::optional<std::uint64_t> expected_revision)
+        -> change_outcome;
+
+    /// Takes a zone out or back in; racing changes of other things are kept.
+    /// Refuses with fleet_errc::unknown_zone when it is not declared.
+    auto set_zone_state(const core::zone_name& zone, settings::zone_state state,
+                        const change_info& info) -> change_outcome;
+
+    /// \return Revision 0 and an empty tree before the first change.
+    auto current() -> core::result<stored_config>;
+
+private:
+    struct versioned_head;
+
+    auto read_head() -> core::result<versioned_head>;
+    auto read_tree(const config_head& head)
+        -> core::result<settings::declaration_tree>;
+    auto write_shards(const std::vector<config_shard>& shards,
+                      const config_head& old) -> std::error_code;
+    auto write_head(const versioned_head& old, const config_head& next)
+        -> std::error_code;
+    auto commit(const versioned_head& old, config_head next,
+                const change_info& info) -> change_outcome;
+    auto settle(const versioned_head& old, const change_record& change,
+                core::time_point deadline) -> change_outcome;
+    auto inspect(const versioned_head& old, const change_record& change)
+        -> std::optional<change_outcome>;
+    auto pause_before_retry(core::time_point deadline) -> bool;
+
+    platform::object_store& store;
+    const core::runtime_clock& clock;
+    core::random_source random;
+    core::milliseconds patience;
+};
+
+} // namespace almondtiller::fleet
--- a/src/libs/fleet/fleet_errc.cpp
+++ b/src/libs/fleet/fleet_errc.cpp
@@ -21,6 +21,20 @@
                 "the configuration is older than the one in force"},
     error_entry{int(fleet_errc::digest_mismatch), "digest_mismatch",
                 "a shard does not have the digest that the head names"},
+    error_entry{int(fleet_errc::shard_missing), "shard_missing",
+                "a shard that the head names is not here"},
+    error_entry{int(fleet_errc::revision_conflict), "revision_conflict",
+                "another change of the configuration was accepted first"},
+    error_entry{int(fleet_errc::change_forgotten), "change_forgotten",
+                "the head no longer lists changes of that revision"},
+    error_entry{int(fleet_errc::unknown_zone), "unknown_zone",
+                "the availability zone is not declared"},
+    error_entry{int(fleet_errc::message_too_large), "message_too_large",
+                "a message is larger than peers accept"},
+    error_entry{int(fleet_errc::too_many_calls), "too_many_calls",
+                "too many calls to the peer are under way"},
+    error_entry{int(fleet_errc::shutting_down), "shutting_down",
+                "this node no longer talks to peers"},
 };
 
 } // namespace
--- a/src/libs/fleet/fleet_errc.h
+++ b/src/libs/fleet/fleet_errc.h
@@ -15,6 +15,13 @@
     malformed_message,
     stale_revision,
     digest_mismatch,
+    shard_missing,
+    revision_conflict,
+    change_forgotten,
+    unknown_zone,
+    message_too_large,
+    too_many_calls,
+    shutting_down,
 };
 
 [[nodiscard]] auto fleet_category() -> const core::table_category&;
--- /dev/null
+++ b/src/services/peers/peers_service.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "fleet/peer_bus.h"
+#include "kernel/service.h"
+
+#include <memory>
+
+namespace almondtiller::services {
+
+/// Settings of the talk between nodes.
+struct peers_options
+{
+    /// IP and port to listen on; the node's peer_address when empty.
+    std::string listen_address;
+
+    auto operator==(const peers_options&) const -> bool = default;
+};
+
+/// Knows the other nodes and carries messages to them.
+class peers_service : public kernel::service, public fleet::peer_bus
+{
+public:
+    explicit peers_service(peers_options options = {});
+    ~peers_service() override;
+
+    [[nodiscard]] auto name() const -> std::string_view override;
+    [[nodiscard]] auto dependencies() const
+        -> std::vector<std::string> override;
+    auto initialize(kernel::service_kernel& kernel) -> std::error_code override;
+    auto services_initialized(kernel::service_kernel& kernel)
+        -> std::error_code override;
+    auto about_to_shutdown() -> void override;
+
+    [[nodiscard]] auto self() const -> fleet::member override;
+    [[nodiscard]] auto members() const -> std::vector<fleet::member> override;
+    auto on_members_changed(members_handler handler) -> void override;
+    auto call(const core::node_id& target, const std::string& topic,
+              const std::string& body, core::milliseconds timeout,
+              reply_handler reply) -> void override;
+    auto handle(const std::string& topic, request_handler handler)
+        -> void override;
+    auto announce_leaving() -> void override;
+
+private:
+    struct state;
+    std::unique_ptr<state> data;
+};
+
+} // namespace almondtiller::services
