--- /dev/null
+++ b/src/libs/fleet/leave_schedule.cpp
@@ -0,0 +1,26 @@
+#include "fleet/leave_schedule.h"
+
+#include <algorithm>
+
+namespace almondtiller::fleet {
+
+namespace {
+
+/// Rounds of gossip within which practically every node has learned of a
+/// leaving one.
+constexpr auto gossip_rounds = 2;
+
+constexpr auto refusing_time = core::milliseconds(500);
+
+} // namespace
+
+auto plan_leaving(const settings::fleet_settings& settings,
+                  core::time_point now) -> leave_schedule
+{
+    const auto least =
+        settings.endpoint_lifetime + settings.gossip_interval * gossip_rounds;
+    const auto refuse_from = now + std::max(settings.leave_delay, least);
+    return {refuse_from, refuse_from + refusing_time};
+}
+
+} // namespace almondtiller::fleet
--- a/src/services/config/config_service.cpp
+++ b/src/services/config/config_service.cpp
@@ -22,6 +22,7 @@
 struct config_service::state
 {
     platform::object_store* store = nullptr;
+    node_service* node = nullptr;
     core::runtime_clock* clock = nullptr;
     mutable std::mutex mutex;
     fleet::config_assembler assembler;
@@ -85,6 +86,7 @@
         listeners = this->handlers;
     }
     if (snapshot) {
+        this->node->set_has_configuration();
         for (const auto& listener : listeners) {
             listener(snapshot);
         }
@@ -119,6 +121,7 @@
 {
     this->data->store =
         kernel.find<platform::object_store>(platform::platform_service_name);
+    this->data->node = kernel.find<node_service>(node_service_name);
     this->data->task = std::make_unique<core::periodic_task>(
         kernel.clock(), [this]() -> core::duration {
             this->data->poll();
--- a/src/services/node/node_service.cpp
+++ b/src/services/node/node_service.cpp
@@ -28,6 +28,11 @@
         this->self.address =
             this->advertise + ":" + std::to_string(http->port());
     }
+    if (this->self.incarnation == 0) {
+        const auto started = kernel.clock().wall_now().time_since_epoch();
+        this->self.incarnation = std::uint64_t(
+            std::chrono::duration_cast<core::milliseconds>(started).count());
+    }
     return {};
 }
 
@@ -46,4 +51,35 @@
     this->leaving = true;
 }
 
+auto node_service::admission_state() const -> admission
+{
+    if (this->refusing) {
+        return admission::leaving;
+    }
+    if (!this->has_configuration) {
+        return admission::starting;
+    }
+    return this->isolated ? admission::isolated : admission::open;
+}
+
+auto node_service::is_ready() const -> bool
+{
+    return !this->leaving && this->admission_state() == admission::open;
+}
+
+auto node_service::set_has_configuration() -> void
+{
+    this->has_configuration = true;
+}
+
+auto node_service::set_isolated(bool is_isolated) -> void
+{
+    this->isolated = is_isolated;
+}
+
+auto node_service::set_refusing() -> void
+{
+    this->refusing = true;
+}
+
 } // namespace almondtiller::services
--- a/src/services/node/node_service.h
+++ b/src/services/node/node_service.h
@@ -12,7 +12,16 @@
 /// The name of the node service.
 constexpr auto node_service_name = "node";
 
-/// Who this process is, and whether it is leaving.
+/// Whether a node takes new requests, and why not.
+enum class admission
+{
+    open,
+    starting, ///< No configuration is known yet.
+    isolated, ///< Neither the platform nor any peer was heard for too long.
+    leaving,  ///< The graceful shutdown no longer takes requests.
+};
+
+/// Who this process is, and whether it takes requests.
 class node_service : public kernel::service
 {
 public:
@@ -26,16 +35,34 @@
         -> std::vector<std::string> override;
     auto initialize(kernel::service_kernel& kernel) -> std::error_code override;
 
+    /// The incarnation is the wall-clock time of the start in milliseconds,
+    /// so that it grows with each start.
     [[nodiscard]] auto identity() const -> const fleet::member&;
 
     /// Whether a graceful shutdown has begun.
     [[nodiscard]] auto is_leaving() const -> bool;
     auto set_leaving() -> void;
 
+    /// \return What a new request meets; everything but open is refused with
+    ///         the outcome not_run. A node that has begun to leave stays open
+    ///         until callers have had time to learn it.
+    [[nodiscard]] auto admission_state() const -> admission;
+
+    /// \return Whether /readyz says so and endpoint answers name this node.
+    [[nodiscard]] auto is_ready() const -> bool;
+
+    auto set_has_configuration() -> void;
+    auto set_isolated(bool is_isolated) -> void;
+    /// Refuses new requests from now on; the last step of leaving.
+    auto set_refusing() -> void;
+
 private:
     fleet::member self;
     std::string advertise;
     std::atomic<bool> leaving = false;
+    std::atomic<bool> has_configuration = false;
+    std::atomic<bool> isolated = false;
+    std::atomic<bool> refusing = false;
 };
 
 } // namespace almondtiller::services
--- a/src/services/peers/peers_service.cpp
+++ b/src/services/peers/peers_service.cpp
@@ -56,6 +56,11 @@
 auto peers_service::about_to_shutdown() -> void
 {}
 
+auto peers_service::peer_port() const -> int
+{
+    return this->data->options.port;
+}
+
 auto peers_service::self() const -> fleet::member
 {
     const auto guard = std::lock_guard(this->data->mutex);
--- a/src/services/peers/peers_service.h
+++ b/src/services/peers/peers_service.h
@@ -10,8 +10,8 @@
 /// Settings of the talk between nodes.
 struct peers_options
 {
-    /// IP and port to listen on; the node's peer_address when empty.
-    std::string listen_address;
+    std::string address = "127.0.0.1"; ///< IP number.
+    int port = 0;                      ///< 0 takes any free port.
 
     auto operator==(const peers_options&) const -> bool = default;
 };
@@ -41,6 +41,9 @@
         -> void override;
     auto announce_leaving() -> void override;
 
+    /// \return The port that was bound for peers.
+    [[nodiscard]] auto peer_port() const -> int;
+
 private:
     struct state;
     std::unique_ptr<state> data;
