Route by load, zone, prefix and temperature; queue fairly by workspace

Cause: the first scheduler kept one queue in order of arrival and sent to the upstream with the least in flight. One large workspace could starve the others, a restarted upstream got full load at once, retries had no bound and doomed work was refused only at its deadline.

Change: the scheduler is composed of small machines. - wait_queue: bounded; priority with a guaranteed turn for lower ones, start-time fair queuing over workspaces, earliest deadline first; the workspace with the most waiting for its weight gives way when it is full. - upstream_picker: power of two choices, local zone first with spill by the stated cost, bounded-load rendezvous hashing for prefixes, cache hints. - upstream_temperature: cold at the first sign, warm on proven completions with a ramp; a cold upstream gets work only for granted slots. - outlier_detector, concurrency_limit, latency_estimator, attempt_budget (retries and hedges together within the retry ratio) and backoff. New codes upstream_cold and hedge_budget_spent; dispatch::finish_by bounds attempts at cold upstreams; work::max_in_flight bounds a workspace.

--- /dev/null
+++ b/src/libs/routing/backoff.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/random.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace almondtiller::routing {
+
+/// Bounds of the delay before a retry.
+struct backoff_settings
+{
+    core::duration initial = std::chrono::milliseconds(5);
+    core::duration largest = std::chrono::milliseconds(250);
+
+    auto operator==(const backoff_settings&) const -> bool = default;
+};
+
+/// Exponential backoff with full jitter, bounded by the deadline.
+/// \param retries Retries made before this one.
+/// \param needed Time that the retry itself needs.
+/// \return The delay, or nothing when the retry could not end in time.
+[[nodiscard]] auto retry_delay(const backoff_settings& settings,
+                               std::uint32_t retries, core::duration remaining,
+                               core::duration needed,
+                               core::random_source& random)
+    -> std::optional<core::duration>;
+
+} // namespace almondtiller::routing
--- /dev/null
+++ b/src/libs/routing/latency_estimator.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <array>
+#include <cstddef>
+
+namespace almondtiller::routing {
+
+/// Quantiles of recent latencies. Observations lose half of their weight with
+/// each half-life, so that the estimate follows the pool.
+class latency_estimator
+{
+public:
+    explicit latency_estimator(
+        core::duration half_life = std::chrono::seconds(10));
+
+    auto record(core::duration latency, core::time_point now) -> void;
+
+    /// \param quantile In [0, 1].
+    /// \return The upper edge of the bucket that holds the quantile; zero
+    ///         while less than one observation's weight is known.
+    [[nodiscard]] auto quantile(double quantile, core::time_point now) const
+        -> core::duration;
+
+    /// \return The weight of the observations; below 1 means unknown.
+    [[nodiscard]] auto weight(core::time_point now) const -> double;
+
+private:
+    static constexpr std::size_t bucket_count = 200;
+
+    [[nodiscard]] auto growth(core::time_point now) const -> double;
+    auto rescale(core::time_point now) -> void;
+
+    core::duration half_life;
+    core::time_point origin;
+    std::array<float, bucket_count> buckets{};
+    double total = 0.0;
+};
+
+} // namespace almondtiller::routing
--- a/src/libs/routing/pool_scheduler.cpp
+++ b/src/libs/routing/pool_scheduler.cpp
@@ -1,108 +1,85 @@
 #include "routing/pool_scheduler.h"
 
+#include "routing/pool_state.h"
 #include "routing/routing_errc.h"
 
 #include <algorithm>
-#include <deque>
 #include <utility>
 
 namespace almondtiller::routing {
 
-/// First version: a bounded queue in order of arrival, least in flight.
-struct pool_scheduler::state
-{
-    settings::pool_settings settings;
-    core::zone_name local_zone;
-    std::vector<upstream_member> members;
-    std::map<core::upstream_id, std::uint32_t> in_flight;
-    std::deque<work> queue;
-
-    auto choose(const work& wanted) -> const upstream_member*
-    {
-        const upstream_member* best = nullptr;
-        for (const auto& member : this->members) {
-            const auto load = this->in_flight[member.id];
-            if (!member.accepts_work ||
-                load >= this->settings.max_concurrency ||
-                std::ranges::find(wanted.excluded, member.id) !=
-                    wanted.excluded.end()) {
-                continue;
-            }
-            if (best == nullptr || load < this->in_flight[best->id]) {
-                best = &member;
-            }
-        }
-        return best;
-    }
+namespace {
 
-    auto drain(core::time_point now) -> actions
-    {
-        auto taken = actions();
-        while (!this->queue.empty()) {
-            auto& next = this->queue.front();
-            if (next.deadline <= now) {
-                taken.emplace_back(
-                    refusal{next.id, routing_errc::deadline_passed, {}});
-                this->queue.pop_front();
-                continue;
-            }
-            const auto* chosen = this->choose(next);
-            if (chosen == nullptr) {
-                break;
-            }
-            ++this->in_flight[chosen->id];
-            taken.emplace_back(dispatch{next.id, chosen->id, false});
-            this->queue.pop_front();
-        }
-        return taken;
-    }
+constexpr auto hedge_quantile = 0.95;
+constexpr auto hedge_samples = 20.0;
+/// Cold upstreams are warmed up while the pool got work so lately.
+constexpr auto activity_window = core::duration(std::chrono::seconds(2));
+
+} // namespace
+
+struct pool_scheduler::state : pool_state
+{
+    using pool_state::pool_state;
 };
 
-pool_scheduler::pool_scheduler(settings::pool_settings settings,
+pool_scheduler::pool_scheduler(const settings::pool_settings& settings,
                                core::zone_name local_zone, std::uint64_t seed)
-    : data(std::make_unique<state>())
-{
-    static_cast<void>(seed);
-    this->data->settings = std::move(settings);
-    this->data->local_zone = std::move(local_zone);
-}
+    : data(std::make_unique<state>(settings, std::move(local_zone), seed))
+{}
 
 pool_scheduler::~pool_scheduler() = default;
 pool_scheduler::pool_scheduler(pool_scheduler&&) noexcept = default;
 auto pool_scheduler::operator=(pool_scheduler&&) noexcept
     -> pool_scheduler& = default;
 
-auto pool_scheduler::configure(settings::pool_settings settings,
+auto pool_scheduler::configure(const settings::pool_settings& settings,
                                core::time_point now) -> actions
 {
-    this->data->settings = std::move(settings);
-    return this->data->drain(now);
+    this->data->now = now;
+    this->data->settings = settings;
+    this->data->queue.set_capacity(settings.queue_limit);
+    this->data->retries.set_ratio(settings.retry_ratio);
+    this->data->hedges.set_ratio(settings.hedge_ratio);
+    this->data->upstreams.configure(settings);
+    return this->data->drain();
 }
 
-auto pool_scheduler::set_members(std::vector<upstream_member> members,
+auto pool_scheduler::set_members(const std::vector<upstream_member>& members,
                                  core::time_point now) -> actions
 {
-    this->data->members = std::move(members);
-    return this->data->drain(now);
+    this->data->now = now;
+    this->data->upstreams.set_members(members);
+    return this->data->drain();
 }
 
 auto pool_scheduler::submit(work submitted, core::time_point now) -> actions
 {
-    if (this->data->queue.size() >= this->data->settings.queue_limit) {
-        return {refusal{submitted.id, routing_errc::queue_full, {}}};
+    this->data->now = now;
+    this->data->last_submit = now;
+    this->data->refresh_quantiles();
+    auto refused = this->data->check(submitted);
+    if (refused.has_value()) {
+        return {std::move(*refused)};
     }
-    this->data->queue.push_back(std::move(submitted));
-    return this->data->drain(now);
+    auto displaced = this->data->queue.push(std::move(submitted));
+    auto taken = this->data->drain();
+    if (displaced.has_value()) {
+        this->data->refuse_queued(
+            *displaced,
+            this->data->refuse(*displaced, routing_errc::queue_full), taken);
+    }
+    return taken;
 }
 
 auto pool_scheduler::withdraw(const core::attempt_id& id, core::time_point now)
     -> actions
 {
-    const auto erased = std::erase_if(
-        this->data->queue, [&id](const work& item) { return item.id == id; });
-    auto taken = this->data->drain(now);
-    if (erased > 0) {
-        taken.emplace_back(refusal{id, routing_errc::withdrawn, {}});
+    this->data->now = now;
+    auto withdrawn = this->data->queue.remove(id);
+    auto taken = this->data->drain();
+    if (withdrawn.has_value()) {
+        this->data->refuse_queued(*withdrawn, {id, routing_errc::withdrawn, {}},
+                                  taken);
     }
     return taken;
 }
@@ -110,48 +87,110 @@
 auto pool_scheduler::finish(const attempt_result& result, core::time_point now)
     -> actions
 {
-    auto& load = this->data->in_flight[result.upstream];
-    load = load > 0 ? load - 1 : 0;
-    return this->data->drain(now);
+    this->data->now = now;
+    auto node = this->data->attempts.extract(result.id);
+    if (node.empty()) {
+        return this->data->drain();
+    }
+    auto known = result;
+    known.upstream = node.mapped().upstream;
+    this->data->record(known, node.mapped());
+    this->data->upstreams.on_finish(known, this->data->median, now);
+    return this->data->drain();
 }
 
 auto pool_scheduler::report_load(const load_report& report,
                                  core::time_point now) -> actions
 {
-    static_cast<void>(report);
-    return this->data->drain(now);
+    this->data->now = now;
+    this->data->upstreams.on_report(report, now);
+    return this->data->drain();
+}
+
+auto pool_scheduler::note_cache(const cache_hint& hint) -> void
+{
+    this->data->upstreams.on_cache_hint(hint);
 }
 
 auto pool_scheduler::grant_cold_slots(const cold_grant& grant,
                                       core::time_point now) -> actions
 {
-    static_cast<void>(grant);
-    return this->data->drain(now);
+    this->data->now = now;
+    this->data->upstreams.on_grant(grant);
+    return this->data->drain();
+}
+
+auto pool_scheduler::deny_cold_slots(const core::upstream_id& id,
+                                     core::duration retry_after,
+                                     core::time_point now) -> actions
+{
+    this->data->now = now;
+    this->data->upstreams.on_denial(id, now + retry_after);
+    return this->data->drain();
 }
 
 auto pool_scheduler::advance(core::time_point now) -> actions
 {
-    return this->data->drain(now);
+    this->data->now = now;
+    return this->data->drain();
 }
 
 auto pool_scheduler::next_timer() const -> std::optional<core::time_point>
 {
-    if (this->data->queue.empty()) {
-        return std::nullopt;
+    const auto expiry = this->data->queue.next_expiry();
+    const auto probe = this->data->upstreams.next_probe();
+    if (!expiry.has_value() || !probe.has_value()) {
+        return expiry;
     }
-    return this->data->queue.front().deadline;
+    return *probe > this->data->now ? std::min(*expiry, *probe) : expiry;
+}
+
+auto pool_scheduler::cold_upstreams(core::time_point now) const
+    -> std::vector<cold_upstream>
+{
+    const auto waiting = std::uint32_t(this->data->queue.size());
+    const auto is_active = now - activity_window < this->data->last_submit;
+    const auto wanted = is_active || waiting > 0 ? waiting + 1 : 0;
+    return this->data->upstreams.cold_upstreams(wanted, now);
 }
 
 auto pool_scheduler::cold_demand() const
     -> std::map<core::upstream_id, std::uint32_t>
 {
-    return {};
+    auto demand = std::map<core::upstream_id, std::uint32_t>();
+    for (const auto& cold : this->cold_upstreams(this->data->now)) {
+        if (cold.wanted > 0) {
+            demand.emplace(cold.id, cold.wanted);
+        }
+    }
+    return demand;
 }
 
 auto pool_scheduler::estimate(double quantile) const -> core::duration
 {
-    static_cast<void>(quantile);
-    return {};
+    return this->data->latencies.quantile(quantile, this->data->now);
+}
+
+auto pool_scheduler::hedge_delay() const -> std::optional<core::duration>
+{
+    const auto now = this->data->now;
+    if (this->data->latencies.weight(now) < hedge_samples ||
+        !this->data->hedges.can_withdraw() ||
+        !this->data->retries.can_withdraw()) {
+        return std::nullopt;
+    }
+    return this->data->latencies.quantile(hedge_quantile, now);
+}
+
+auto pool_scheduler::queued() const -> std::size_t
+{
+    return this->data->queue.size();
+}
+
+auto pool_scheduler::status(core::time_point now) const
+    -> std::vector<upstream_status>
+{
+    return this->data->upstreams.status(now);
 }
 
 } // namespace almondtiller::routing
--- a/src/libs/routing/pool_scheduler.h
+++ b/src/libs/routing/pool_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/cold_slots.h"
 #include "routing/work.h"
 #include "settings/effective.h"
 
@@ -11,17 +12,6 @@
 
 namespace almondtiller::routing {
 
-/// Slots of a cold upstream that this node may use until they expire.
-struct cold_grant
-{
-    core::upstream_id id;
-    std::string incarnation;
-    std::uint32_t slots = 0;
-    core::time_point expires;
-
-    auto operator==(const cold_grant&) const -> bool = default;
-};
-
 /// Decides for one pool at one node which attempt goes to which upstream.
 /// Every submitted attempt gets exactly one dispatch or refusal; every
 /// dispatched attempt must be finished exactly once.
@@ -30,16 +20,16 @@
 public:
     /// \param local_zone The zone of this node.
     /// \param seed Seeds the random choices.
-    pool_scheduler(settings::pool_settings settings, core::zone_name local_zone,
-                   std::uint64_t seed);
+    pool_scheduler(const settings::pool_settings& settings,
+                   core::zone_name local_zone, std::uint64_t seed);
     ~pool_scheduler();
     pool_scheduler(pool_scheduler&&) noexcept;
     auto operator=(pool_scheduler&&) noexcept -> pool_scheduler&;
 
-    auto configure(settings::pool_settings settings, core::time_point now)
-        -> actions;
-    auto set_members(std::vector<upstream_member> members, core::time_point now)
-        -> actions;
+    auto configure(const settings::pool_settings& settings,
+                   core::time_point now) -> actions;
+    auto set_members(const std::vector<upstream_member>& members,
+                     core::time_point now) -> actions;
     auto submit(work submitted, core::time_point now) -> actions;
 
     /// Gives up an attempt that still waits. No effect after its dispatch.
@@ -47,9 +37,18 @@
     auto finish(const attempt_result& result, core::time_point now) -> actions;
     auto report_load(const load_report& report, core::time_point now)
         -> actions;
+    auto note_cache(const cache_hint& hint) -> void;
+
+    /// Replaces the slots that this node has at a cold upstream.
     auto grant_cold_slots(const cold_grant& grant, core::time_point now)
         -> actions;
 
+    /// There will be no slots of a cold upstream for \a retry_after. Work
+    /// that cannot wait so long is refused.
+    auto deny_cold_slots(const core::upstream_id& id,
+                         core::duration retry_after, core::time_point now)
+        -> actions;
+
     /// Handles everything that time alone brings: expired work and grants.
     auto advance(core::time_point now) -> actions;
 
@@ -61,10 +60,24 @@
     [[nodiscard]] auto cold_demand() const
         -> std::map<core::upstream_id, std::uint32_t>;
 
+    /// \return Every cold upstream, those without demand included.
+    [[nodiscard]] auto cold_upstreams(core::time_point now) const
+        -> std::vector<cold_upstream>;
+
     /// \return The estimated duration of an attempt at a quantile; zero when
     ///         nothing was observed yet.
     [[nodiscard]] auto estimate(double quantile) const -> core::duration;
 
+    /// \return How long to wait before a slow attempt is hedged; nothing
+    ///         while too little is known or the budget is spent.
+    [[nodiscard]] auto hedge_delay() const -> std::optional<core::duration>;
+
+    /// \return Attempts that wait.
+    [[nodiscard]] auto queued() const -> std::size_t;
+
+    [[nodiscard]] auto status(core::time_point now) const
+        -> std::vector<upstream_status>;
+
 private:
     struct state;
     std::unique_ptr<state> data;
--- /dev/null
+++ b/src/libs/routing/pool_state.cpp
@@ -0,0 +1,247 @@
+#include "routing/pool_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::routing {
+
+namespace {
+
+constexpr auto cost_gain = 0.05;
+constexpr auto shortest_retry_after = core::duration(core::milliseconds(50));
+constexpr auto longest_retry_after = core::duration(std::chrono::seconds(5));
+constexpr auto no_upstream_retry_after =
+    core::duration(std::chrono::seconds(1));
+constexpr auto quantiles_lifetime =
+    core::duration(std::chrono::milliseconds(10));
+
+auto cost_of(const attempt_result& result) -> double
+{
+    const auto elapsed = std::chrono::duration<double>(result.latency);
+    return result.cost > 0.0 ? result.cost : elapsed.count();
+}
+
+} // namespace
+
+pool_state::pool_state(const settings::pool_settings& settings,
+                       core::zone_name local_zone, std::uint64_t seed)
+    : settings(settings),
+      upstreams(settings, std::move(local_zone), seed),
+      queue(settings.queue_limit),
+      retries(settings.retry_ratio),
+      hedges(settings.hedge_ratio)
+{}
+
+auto pool_state::refresh_quantiles() -> void
+{
+    if (this->now - quantiles_lifetime < this->quantiles_at) {
+        return;
+    }
+    this->quantiles_at = this->now;
+    this->median = this->latencies.quantile(0.5, this->now);
+    this->fastest = this->latencies.quantile(0.1, this->now);
+}
+
+auto pool_state::expected_wait(double ahead) const -> core::duration
+{
+    const auto& all = this->upstreams.summary(this->now);
+    if (all.capacity < 1.0) {
+        return {};
+    }
+    const auto wait =
+        std::chrono::duration<double>(this->median) * ahead / all.capacity;
+    return std::chrono::duration_cast<core::duration>(wait);
+}
+
+auto pool_state::retry_after() const -> core::duration
+{
+    const auto wait = this->expected_wait(double(this->queue.size()));
+    return std::clamp(wait, shortest_retry_after, longest_retry_after);
+}
+
+auto pool_state::refuse(const work& item, routing_errc why) const -> refusal
+{
+    return {item.id, why, this->retry_after()};
+}
+
+auto pool_state::running_of(const core::workspace_name& workspace) const
+    -> std::uint32_t
+{
+    const auto found = this->workspace_running.find(workspace);
+    return found == this->workspace_running.end() ? 0 : found->second;
+}
+
+auto pool_state::is_over_limit(const work& item) const -> bool
+{
+    return this->queue.waiting(item.workspace) +
+               this->running_of(item.workspace) >=
+           item.max_in_flight;
+}
+
+auto pool_state::is_unreachable(const work& item) const -> bool
+{
+    if (item.deadline - item.min_budget <= this->now) {
+        return true;
+    }
+    if (this->attempts.empty()) {
+        return false;
+    }
+    const auto ahead =
+        this->queue.size() > 0 ? this->queue.attempts_ahead(item) + 1.0 : 0.0;
+    const auto needed = std::max(item.min_budget, this->fastest);
+    return this->now + this->expected_wait(ahead) + needed > item.deadline;
+}
+
+auto pool_state::check(const work& item) -> std::optional<refusal>
+{
+    if (item.deadline <= this->now) {
+        return this->refuse(item, routing_errc::deadline_passed);
+    }
+    if (this->settings.queue_limit == 0) {
+        return this->refuse(item, routing_errc::queue_full);
+    }
+    if (this->upstreams.summary(this->now).accepting == 0) {
+        return refusal{item.id, routing_errc::no_upstream,
+                       no_upstream_retry_after};
+    }
+    if (this->is_over_limit(item)) {
+        return this->refuse(item, routing_errc::workspace_limit);
+    }
+    if (this->is_unreachable(item)) {
+        return this->refuse(item, routing_errc::deadline_unreachable);
+    }
+    return this->charge_budget(item);
+}
+
+auto pool_state::charge_budget(const work& item) -> std::optional<refusal>
+{
+    if (item.reason == attempt_reason::hedge &&
+        !(this->retries.can_withdraw() && this->hedges.try_withdraw())) {
+        return this->refuse(item, routing_errc::hedge_budget_spent);
+    }
+    if (item.reason != attempt_reason::first && !this->retries.try_withdraw()) {
+        return this->refuse(item, routing_errc::retry_budget_spent);
+    }
+    return std::nullopt;
+}
+
+auto pool_state::give_back_budget(const work& item) -> void
+{
+    if (item.reason == attempt_reason::hedge) {
+        this->hedges.give_back();
+    }
+    if (item.reason != attempt_reason::first) {
+        this->retries.give_back();
+    }
+}
+
+auto pool_state::refuse_queued(const work& item, refusal why, actions& taken)
+    -> void
+{
+    this->give_back_budget(item);
+    taken.emplace_back(std::move(why));
+}
+
+auto pool_state::refuse_expired(actions& taken) -> void
+{
+    const auto all_cold = this->upstreams.summary(this->now).warm == 0;
+    for (const auto& item : this->queue.take_expired(this->now)) {
+        auto why = item.deadline <= this->now
+                       ? routing_errc::deadline_passed
+                       : routing_errc::deadline_unreachable;
+        if (all_cold) {
+            why = routing_errc::upstream_cold;
+        }
+        this->refuse_queued(item, this->refuse(item, why), taken);
+    }
+}
+
+auto pool_state::refuse_unservable(actions& taken) -> void
+{
+    const auto& all = this->upstreams.summary(this->now);
+    if (all.accepting == 0) {
+        for (const auto& item : this->queue.take_all()) {
+            this->refuse_queued(
+                item,
+                {item.id, routing_errc::no_upstream, no_upstream_retry_after},
+                taken);
+        }
+        return;
+    }
+    if (all.warm > 0 || all.cold_slots > 0 || !all.next_cold_slot.has_value()) {
+        return;
+    }
+    const auto next = *all.next_cold_slot;
+    for (const auto& item : this->queue.take_expired(next)) {
+        const auto wait = std::max(next - this->now, shortest_retry_after);
+        this->refuse_queued(item, {item.id, routing_errc::upstream_cold, wait},
+                            taken);
+    }
+}
+
+auto pool_state::start(work item, dispatch chosen, actions& taken) -> void
+{
+    this->upstreams.on_dispatch(chosen.upstream);
+    ++this->workspace_running[item.workspace];
+    if (item.reason == attempt_reason::first) {
+        this->retries.deposit();
+        this->hedges.deposit();
+    }
+    auto id = item.id;
+    this->attempts.insert_or_assign(
+        std::move(id), running{std::move(item), chosen.upstream, this->cost});
+    taken.emplace_back(std::move(chosen));
+}
+
+auto pool_state::place(const work& item, std::optional<dispatch>& chosen)
+    -> placement
+{
+    chosen = this->upstreams.choose(item, this->median, this->now);
+    if (chosen.has_value()) {
+        return placement::placed;
+    }
+    return item.excluded.empty() ? placement::blocked : placement::skipped;
+}
+
+auto pool_state::drain() -> actions
+{
+    auto taken = actions();
+    this->refresh_quantiles();
+    this->refuse_expired(taken);
+    while (this->queue.size() > 0) {
+        auto chosen = std::optional<dispatch>();
+        const auto offer = [this, &chosen](const work& item) {
+            return this->place(item, chosen);
+        };
+        auto item = this->queue.take_next(offer, this->cost);
+        if (!item.has_value()) {
+            break;
+        }
+        this->start(std::move(*item), std::move(*chosen), taken);
+    }
+    if (this->queue.size() > 0) {
+        this->refuse_unservable(taken);
+    }
+    return taken;
+}
+
+auto pool_state::record(const attempt_result& result, const running& ended)
+    -> void
+{
+    const auto is_observation = result.end == attempt_end::succeeded ||
+                                result.end == attempt_end::timed_out;
+    if (is_observation) {
+        this->latencies.record(result.latency, this->now);
+    }
+    const auto measured = cost_of(result);
+    this->queue.charge(ended.item, measured - ended.charged);
+    if (result.end == attempt_end::succeeded) {
+        this->cost += cost_gain * (measured - this->cost);
+    }
+    auto running = this->workspace_running.find(ended.item.workspace);
+    if (--running->second == 0) {
+        this->workspace_running.erase(running);
+    }
+}
+
+} // namespace almondtiller::routing
--- a/src/libs/routing/routing_errc.cpp
+++ b/src/libs/routing/routing_errc.cpp
@@ -25,6 +25,10 @@
                 "the stage's attempts are spent"},
     error_entry{int(routing_errc::withdrawn), "withdrawn",
                 "the caller gave the request up"},
+    error_entry{int(routing_errc::hedge_budget_spent), "hedge_budget_spent",
+                "the pool's budget for hedged attempts is spent"},
+    error_entry{int(routing_errc::upstream_cold), "upstream_cold",
+                "every upstream of the pool is cold and has no free slot"},
 };
 
 } // namespace
--- a/src/libs/routing/routing_errc.h
+++ b/src/libs/routing/routing_errc.h
@@ -17,6 +17,8 @@
     retry_budget_spent,
     attempts_spent,
     withdrawn,
+    hedge_budget_spent,
+    upstream_cold,
 };
 
 [[nodiscard]] auto routing_category() -> const core::table_category&;
--- /dev/null
+++ b/src/libs/routing/upstream_picker.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "core/random.h"
+#include "routing/work.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace almondtiller::routing {
+
+/// Chooses among the upstreams of a pool: power of two choices on their
+/// utilisation (Mitzenmacher 2001), the local zone first, and rendezvous
+/// hashing with bounded loads (Mirrokni et al. 2018) for work with a prefix
+/// hash.
+class upstream_picker
+{
+public:
+    /// Where one upstream stands; its position is its index.
+    struct member
+    {
+        core::upstream_id id;
+        bool is_local = false;
+
+        auto operator==(const member&) const -> bool = default;
+    };
+
+    /// \return The utilisation of the upstream at an index, 0 when it is
+    ///         idle; nothing when it has no room.
+    using load_probe =
+        std::function<std::optional<double>(std::uint32_t index)>;
+    /// \return Whether the upstream at an index may get any work at all,
+    ///         disregarding room.
+    using service_probe = std::function<bool(std::uint32_t index)>;
+
+    /// What the choice depends on besides the work.
+    struct conditions
+    {
+        load_probe utilisation;
+        service_probe is_serviceable;
+        /// Difference of utilisation that outweighs leaving the zone.
+        double spill_threshold = 0.0;
+        /// Mean utilisation of the pool, which bounds prefix affinity.
+        double mean_utilisation = 0.0;
+    };
+
+    auto set_members(std::vector<member> members) -> void;
+    auto note(const cache_hint& hint) -> void;
+
+    [[nodiscard]] auto pick(const work& wanted, const conditions& now,
+                            core::random_source& random) const
+        -> std::optional<std::uint32_t>;
+
+private:
+    using index_list = std::vector<std::uint32_t>;
+    struct choice
+    {
+        std::uint32_t index;
+        double utilisation;
+    };
+
+    [[nodiscard]] auto excluded_indices(const work& wanted,
+                                        const conditions& now) const
+        -> index_list;
+    [[nodiscard]] auto pick_by_prefix(std::uint64_t prefix,
+                                      const index_list& excluded,
+                                      const conditions& now) const
+        -> std::optional<std::uint32_t>;
+    [[nodiscard]] auto
+    pick_of_two(const index_list& candidates, const index_list& excluded,
+                const conditions& now, core::random_source& random) const
+        -> std::optional<choice>;
+    /// Looks at every candidate, from \a first on.
+    [[nodiscard]] auto scan(const index_list& candidates, std::size_t first,
+                            const index_list& excluded,
+                            const conditions& now) const
+        -> std::optional<choice>;
+
+    std::vector<member> members;
+    std::vector<std::uint64_t> hashes;
+    index_list local;
+    index_list remote;
+    std::unordered_map<core::upstream_id, std::uint32_t> positions;
+    /// The upstream that last stored a prefix.
+    std::unordered_map<std::uint64_t, core::upstream_id> cached;
+};
+
+} // namespace almondtiller::routing
--- /dev/null
+++ b/src/libs/routing/upstream_temperature.cpp
@@ -0,0 +1,184 @@
+#include "routing/upstream_temperature.h"
+
+#include <algorithm>
+
+namespace almondtiller::routing {
+
+namespace {
+
+constexpr auto retired_kept = std::size_t(4);
+/// Older reports are no evidence of a warm upstream.
+constexpr auto oldest_evidence = core::duration(std::chrono::seconds(5));
+constexpr auto largest_ramp = 1U << 20U;
+constexpr auto slow_ratio = 4.0;
+constexpr auto slow_margin_seconds = 0.02;
+constexpr auto slow_answers_to_cold = 3U;
+constexpr auto baseline_gain = 0.05;
+constexpr auto baseline_samples_needed = 16U;
+
+} // namespace
+
+upstream_temperature::upstream_temperature(limits bounds) : bounds(bounds)
+{}
+
+auto upstream_temperature::set_limits(limits bounds) -> void
+{
+    this->bounds = bounds;
+}
+
+auto upstream_temperature::turn_cold(cold_reason why, core::time_point now)
+    -> void
+{
+    this->cold = true;
+    this->why = why;
+    this->changed = now;
+    this->proven = 0;
+    this->slow_answers = 0;
+}
+
+auto upstream_temperature::turn_warm(core::time_point now) -> void
+{
+    this->cold = false;
+    this->changed = now;
+    this->slow_answers = 0;
+    this->ramp_limit = std::max(this->bounds.cold_capacity, 1U);
+}
+
+// A retired incarnation comes from a message that was under way when the
+// upstream restarted; it says nothing of the process that runs now.
+auto upstream_temperature::adopt_incarnation(const std::string& seen,
+                                             core::time_point now) -> bool
+{
+    if (seen.empty() || seen == this->current) {
+        return true;
+    }
+    if (std::ranges::find(this->retired, seen) != this->retired.end()) {
+        return false;
+    }
+    if (this->current.empty()) {
+        this->current = seen;
+        return true;
+    }
+    this->retired.push_back(this->current);
+    if (this->retired.size() > retired_kept) {
+        this->retired.erase(this->retired.begin());
+    }
+    this->current = seen;
+    this->baseline_samples = 0;
+    this->turn_cold(cold_reason::new_incarnation, now);
+    return true;
+}
+
+auto upstream_temperature::settle_silence(core::time_point now) -> void
+{
+    if (!this->cold && this->is_cold(now)) {
+        this->turn_cold(cold_reason::silence, now);
+    }
+}
+
+auto upstream_temperature::observe(const load_report& report,
+                                   core::time_point now) -> void
+{
+    this->settle_silence(now);
+    if (!this->adopt_incarnation(report.incarnation, now)) {
+        return;
+    }
+    const auto sampled = now - report.age;
+    this->last_heard = std::max(this->last_heard, sampled);
+    if (report.cold) {
+        // Reports lag: one from before the last change proves nothing.
+        if (sampled >= this->changed) {
+            this->turn_cold(cold_reason::reported, sampled);
+        }
+        return;
+    }
+    const auto trusts_report = this->why == cold_reason::not_seen_before ||
+                               this->why == cold_reason::silence ||
+                               this->why == cold_reason::reported;
+    if (this->cold && trusts_report && !report.incarnation.empty() &&
+        report.age <= oldest_evidence && sampled > this->changed) {
+        this->turn_warm(now);
+    }
+}
+
+auto upstream_temperature::observe(const attempt_result& result,
+                                   core::time_point now) -> void
+{
+    this->settle_silence(now);
+    if (!this->adopt_incarnation(result.incarnation, now)) {
+        return;
+    }
+    if (!result.incarnation.empty() || result.end == attempt_end::succeeded) {
+        this->last_heard = std::max(this->last_heard, now);
+    }
+    if (result.reported_cold) {
+        this->turn_cold(cold_reason::reported, now);
+        return;
+    }
+    if (result.end == attempt_end::succeeded) {
+        this->observe_completion(result, now);
+    } else if (result.end == attempt_end::timed_out && !this->cold) {
+        this->observe_slowness(now);
+    }
+}
+
+auto upstream_temperature::observe_completion(const attempt_result& result,
+                                              core::time_point now) -> void
+{
+    if (this->cold) {
+        const auto sent_while_cold = this->changed == core::time_point::min() ||
+                                     now - result.latency >= this->changed;
+        this->proven += sent_while_cold ? 1U : 0U;
+        if (this->proven >= this->bounds.warm_completions) {
+            this->turn_warm(now);
+        }
+        return;
+    }
+    this->ramp_limit = std::min(this->ramp_limit + 1, largest_ramp);
+    const auto observed = std::chrono::duration<double>(result.latency).count();
+    const auto is_known = this->baseline_samples >= baseline_samples_needed;
+    if (is_known &&
+        observed > slow_ratio * this->baseline_seconds + slow_margin_seconds) {
+        this->observe_slowness(now);
+        return;
+    }
+    this->slow_answers = 0;
+    const auto gain =
+        is_known ? baseline_gain : 1.0 / double(this->baseline_samples + 1);
+    this->baseline_seconds += gain * (observed - this->baseline_seconds);
+    this->baseline_samples += is_known ? 0U : 1U;
+}
+
+auto upstream_temperature::observe_slowness(core::time_point now) -> void
+{
+    ++this->slow_answers;
+    if (this->slow_answers >= slow_answers_to_cold) {
+        this->turn_cold(cold_reason::slow_answers, now);
+    }
+}
+
+auto upstream_temperature::is_cold(core::time_point now) const -> bool
+{
+    return this->cold ||
+           now - this->last_heard >= this->bounds.silence_until_cold;
+}
+
+auto upstream_temperature::reason(core::time_point now) const -> cold_reason
+{
+    if (!this->cold && this->is_cold(now)) {
+        return cold_reason::silence;
+    }
+    return this->why;
+}
+
+auto upstream_temperature::ramp() const -> std::uint32_t
+{
+    return this->ramp_limit;
+}
+
+auto upstream_temperature::incarnation() const -> const std::string&
+{
+    return this->current;
+}
+
+} // namespace almondtiller::routing
--- /dev/null
+++ b/src/libs/routing/upstream_temperature.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "routing/work.h"
+#include "settings/effective.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace almondtiller::routing {
+
+/// What made an upstream count as cold.
+enum class cold_reason
+{
+    not_seen_before,
+    new_incarnation,
+    silence,
+    reported,
+    slow_answers,
+};
+
+/// Decides whether one upstream is cold, and how much a warm one may get
+/// while it ramps up. An upstream starts cold and turns cold at the first
+/// sign; it turns warm on proven completions or, unless it restarted or was
+/// slow, when it reports itself warm.
+class upstream_temperature
+{
+public:
+    /// What the settings of the pool say about cold starts.
+    struct limits
+    {
+        std::uint32_t cold_capacity = 1;
+        std::uint32_t warm_completions = 8;
+        core::duration silence_until_cold = std::chrono::minutes(5);
+
+        auto operator==(const limits&) const -> bool = default;
+    };
+
+    explicit upstream_temperature(limits bounds);
+
+    auto set_limits(limits bounds) -> void;
+    auto observe(const load_report& report, core::time_point now) -> void;
+    auto observe(const attempt_result& result, core::time_point now) -> void;
+
+    [[nodiscard]] auto is_cold(core::time_point now) const -> bool;
+    [[nodiscard]] auto reason(core::time_point now) const -> cold_reason;
+
+    /// \return Requests in flight that the slow start of a warm upstream
+    ///         allows.
+    [[nodiscard]] auto ramp() const -> std::uint32_t;
+
+    /// \return The current incarnation; empty while unknown.
+    [[nodiscard]] auto incarnation() const -> const std::string&;
+
+private:
+    auto adopt_incarnation(const std::string& seen, core::time_point now)
+        -> bool;
+    auto turn_cold(cold_reason why, core::time_point now) -> void;
+    auto turn_warm(core::time_point now) -> void;
+    auto settle_silence(core::time_point now) -> void;
+    auto observe_completion(const attempt_result& result, core::time_point now)
+        -> void;
+    auto observe_slowness(core::time_point now) -> void;
+
+    limits bounds;
+    std::string current;
+    std::vector<std::string> retired;
+    bool cold = true;
+    cold_reason why = cold_reason::not_seen_before;
+    core::time_point changed = core::time_point::min();
+    core::time_point last_heard = core::time_point::min();
+    std::uint32_t proven = 0;
+    std::uint32_t ramp_limit = 1;
+    double baseline_seconds = 0.0;
+    std::uint32_t baseline_samples = 0;
+    std::uint32_t slow_answers = 0;
+};
+
+} // namespace almondtiller::routing
--- /dev/null
+++ b/src/libs/routing/wait_queue.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "routing/work.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace almondtiller::routing {
+
+/// What became of a waiting attempt that was offered for dispatch.
+enum class placement
+{
+    placed,
+    /// This attempt has no upstream now, another may have one.
+    skipped,
+    /// No attempt has an upstream now.
+    blocked,
+};
+
+/// The bounded queue of a pool. Order: larger priorities first, though each
+/// priority gets a turn after at most turns_before_lower turns of others;
+/// start-time fair queuing over workspaces within a priority (Goyal et al.,
+/// SIGCOMM 1996); earliest deadline first within a workspace. When the queue
+/// is full, the workspace with the most waiting attempts for its weight loses
+/// its least urgent one.
+class wait_queue
+{
+public:
+    using placer = std::function<placement(const work&)>;
+
+    explicit wait_queue(std::uint32_t capacity);
+
+    auto set_capacity(std::uint32_t capacity) -> void;
+
+    /// \return The attempt that had to give way, which may be \a item itself.
+    [[nodiscard]] auto push(work item) -> std::optional<work>;
+
+    /// \return The attempt, when it was waiting.
+    [[nodiscard]] auto remove(const core::attempt_id& id)
+        -> std::optional<work>;
+
+    /// Takes out everything whose deadline, less its minimal budget, is over.
+    [[nodiscard]] auto take_expired(core::time_point now) -> std::vector<work>;
+
+    /// Takes out everything that waits.
+    [[nodiscard]] auto take_all() -> std::vector<work>;
+
+    /// Offers attempts in order until one is placed, and takes that one out.
+    /// \param cost Estimated cost, charged to its workspace at once.
+    [[nodiscard]] auto take_next(const placer& place, double cost)
+        -> std::optional<work>;
+
+    /// Corrects the charge of a taken attempt.
+    /// \param correction Measured cost less estimated cost.
+    auto charge(const work& item, double correction) -> void;
+
+    /// \return The attempts that would probably be taken before \a item.
+    [[nodiscard]] auto attempts_ahead(const work& item) const -> double;
+
+    [[nodiscard]] auto waiting(const core::workspace_name& workspace) const
+        -> std::uint32_t;
+    [[nodiscard]] auto size() const -> std::size_t;
+
+    /// \return When take_expired() has something to do, if ever.
+    [[nodiscard]] auto next_expiry() const -> std::optional<core::time_point>;
+
+    /// Turns of other priorities after which a priority gets one.
+    static constexpr auto turns_before_lower = 8U;
+
+private:
+    using sequence = std::uint64_t;
+
+    /// The attempts of one workspace at one priority.
+    struct flow
+    {
+        core::workspace_name workspace;
+        double start = 0.0;
+        std::set<std::pair<core::time_point, sequence>> items;
+    };
+    struct priority_class
+    {
+        double virtual_time = 0.0;
+        double largest_start = 0.0;
+        std::size_t sweep_at = 0;
+        std::uint32_t turns_missed = 0;
+        std::size_t waiting = 0;
+        std::unordered_map<core::workspace_name, flow> flows;
+        std::set<std::pair<double, core::workspace_name>> ready;
+    };
+    struct workspace_load
+    {
+        std::uint32_t waiting = 0;
+        std::uint32_t weight = 1;
+    };
+
+    auto extract(sequence number) -> work;
+    auto enqueue(const work& item, sequence number) -> void;
+    auto advance_start(priority_class& of, flow& changed, double step) -> void;
+    auto forget_idle_flows(priority_class& of) -> void;
+    auto end_busy_period(priority_class& of) -> void;
+    [[nodiscard]] auto least_urgent() const -> sequence;
+    [[nodiscard]] auto class_order() const -> std::vector<std::int32_t>;
+    auto count_turn(std::int32_t served) -> void;
+
+    std::uint32_t capacity;
+    sequence next_sequence = 0;
+    std::unordered_map<sequence, work> items;
+    std::unordered_map<core::attempt_id, sequence> numbers;
+    std::set<std::pair<core::time_point, sequence>> expiries;
+    std::map<std::int32_t, priority_class, std::greater<>> classes;
+    std::map<core::workspace_name, workspace_load> workspaces;
+};
+
+} // namespace almondtiller::routing
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -35,6 +35,9 @@
     std::optional<std::uint64_t> prefix_hash;
     /// Upstreams that this request has tried already.
     std::vector<core::upstream_id> excluded;
+    /// Attempts of the workspace that wait or run for the pool at this node,
+    /// at most.
+    std::uint32_t max_in_flight = 256;
 
     auto operator==(const work&) const -> bool = default;
 };
@@ -65,6 +68,17 @@
     auto operator==(const load_report&) const -> bool = default;
 };
 
+/// What an upstream's event says of its prefix cache. Events come late and
+/// with gaps, so that they are hints and nothing more.
+struct cache_hint
+{
+    core::upstream_id id;
+    std::uint64_t prefix_hash = 0;
+    bool stored = true; ///< False when the prefix was evicted.
+
+    auto operator==(const cache_hint&) const -> bool = default;
+};
+
 /// How an attempt ended.
 enum class attempt_end
 {
@@ -93,6 +107,19 @@
     auto operator==(const attempt_result&) const -> bool = default;
 };
 
+/// How one upstream stands in its pool, for operators.
+struct upstream_status
+{
+    core::upstream_id id;
+    core::zone_name zone;
+    bool cold = false;
+    bool ejected = false;
+    std::uint32_t in_flight = 0;
+    std::uint32_t limit = 0;
+
+    auto operator==(const upstream_status&) const -> bool = default;
+};
+
 /// Send the attempt to this upstream now.
 struct dispatch
 {
@@ -100,6 +127,9 @@
     core::upstream_id upstream;
     /// Whether the upstream is cold and the attempt uses one of its slots.
     bool cold = false;
+    /// When the shell must have ended the attempt: its deadline, and sooner
+    /// for cold upstreams, whose slots are counted on it.
+    core::time_point finish_by{};
 
     auto operator==(const dispatch&) const -> bool = default;
 };
--- /dev/null
+++ b/tests/unit/routing/upstream_temperature_test.cpp
@@ -0,0 +1,113 @@
+#include "routing/upstream_temperature.h"
+#include "routing_builders.h"
+
+#include <gtest/gtest.h>
+
+namespace almondtiller::routing {
+
+namespace {
+
+auto warmed() -> upstream_temperature
+{
+    auto made = upstream_temperature({2, 3, seconds(60)});
+    made.observe(make_report("u"), start_time);
+    return made;
+}
+
+auto completion(const std::string& incarnation, core::duration latency)
+    -> attempt_result
+{
+    auto made = make_result({}, latency);
+    made.incarnation = incarnation;
+    return made;
+}
+
+} // namespace
+
+TEST(upstream_temperature, starts_cold_and_trusts_a_fresh_warm_report)
+{
+    auto temperature = upstream_temperature({});
+    EXPECT_TRUE(temperature.is_cold(start_time));
+    auto old = make_report("u");
+    old.age = seconds(6);
+    temperature.observe(old, start_time);
+    EXPECT_TRUE(temperature.is_cold(start_time));
+    temperature.observe(make_report("u"), start_time);
+    EXPECT_FALSE(temperature.is_cold(start_time));
+}
+
+TEST(upstream_temperature, is_cold_at_the_first_sign)
+{
+    const auto later = start_time + seconds(1);
+    auto reported = warmed();
+    reported.observe(make_report("u", true), later);
+    EXPECT_TRUE(reported.is_cold(later));
+
+    auto answered = warmed();
+    auto answer = completion("i1", milliseconds(1));
+    answer.reported_cold = true;
+    answered.observe(answer, later);
+    EXPECT_TRUE(answered.is_cold(later));
+
+    auto restarted = warmed();
+    restarted.observe(completion("i2", milliseconds(1)), later);
+    EXPECT_TRUE(restarted.is_cold(later));
+
+    EXPECT_TRUE(warmed().is_cold(start_time + seconds(60)));
+    EXPECT_FALSE(warmed().is_cold(start_time + seconds(59)));
+}
+
+TEST(upstream_temperature, is_cold_when_answers_leave_the_warm_baseline)
+{
+    auto temperature = warmed();
+    auto now = start_time;
+    for (auto index = 0; index < 20; ++index) {
+        now += milliseconds(10);
+        temperature.observe(completion("i1", milliseconds(10)), now);
+    }
+    for (auto index = 0; index < 3; ++index) {
+        EXPECT_FALSE(temperature.is_cold(now));
+        temperature.observe(completion("i1", milliseconds(200)), now);
+    }
+    EXPECT_EQ(temperature.reason(now), cold_reason::slow_answers);
+    // The upstream does not know that it is cold; its report proves nothing.
+    temperature.observe(make_report("u"), now + seconds(1));
+    EXPECT_TRUE(temperature.is_cold(now + seconds(1)));
+}
+
+TEST(upstream_temperature, warms_on_completions_that_were_sent_while_cold)
+{
+    auto temperature = warmed();
+    auto now = start_time + seconds(1);
+    temperature.observe(completion("i2", milliseconds(1)), now);
+    for (auto index = 0; index < 5; ++index) {
+        temperature.observe(completion("i2", seconds(1)),
+                            now + milliseconds(10));
+    }
+    EXPECT_TRUE(temperature.is_cold(now));
+    for (auto index = 0; index < 3; ++index) {
+        EXPECT_TRUE(temperature.is_cold(now));
+        now += milliseconds(10);
+        temperature.observe(completion("i2", milliseconds(5)), now);
+    }
+    EXPECT_FALSE(temperature.is_cold(now));
+    EXPECT_EQ(temperature.ramp(), 2U);
+    temperature.observe(completion("i2", milliseconds(5)), now);
+    EXPECT_EQ(temperature.ramp(), 3U);
+}
+
+TEST(upstream_temperature, ignores_late_words_of_a_former_incarnation)
+{
+    auto temperature = warmed();
+    const auto later = start_time + seconds(1);
+    temperature.observe(completion("i2", milliseconds(1)), later);
+    temperature.observe(make_report("u", false, "i1"), later);
+    EXPECT_TRUE(temperature.is_cold(later));
+    EXPECT_EQ(temperature.incarnation(), "i2");
+    auto lagging = make_report("u", false, "i2");
+    lagging.age = seconds(1);
+    temperature.observe(lagging, later + milliseconds(500));
+    EXPECT_TRUE(temperature.is_cold(later + milliseconds(500)));
+}
+
+} // namespace almondtiller::routing
