--- a/tests/unit/claims/model_store.h
+++ b/tests/fakes/model_store.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace almondtiller::claims {
+namespace almondtiller::fakes {
 
 /// One object of a store whose answers may be lost and whose writes may take
 /// effect late, but each at most once and only on its own precondition.
@@ -98,4 +98,4 @@
     std::vector<delayed_write> delayed;
 };
 
-} // namespace almondtiller::claims
+} // namespace almondtiller::fakes
--- a/tests/unit/claims/claim_bucket_property_test.cpp
+++ b/tests/unit/claims/claim_bucket_property_test.cpp
@@ -1,5 +1,5 @@
 #include "claims/claims.h"
-#include "model_store.h"
+#include "fakes/model_store.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -224,7 +224,7 @@
     }
 
     core::random_source random;
-    model_store store;
+    fakes::model_store store;
     core::time_point now;
     std::map<unsigned, node> nodes;
     std::uint64_t claim_counter = 0;
