--- /dev/null
+++ b/src/libs/settings/reference.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace almondtiller::settings {
+
+/// \return The reference page of every setting, in Markdown.
+[[nodiscard]] auto settings_reference() -> std::string;
+
+} // namespace almondtiller::settings
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -6,7 +6,9 @@
 
 #include "settings/declaration_files.h"
 #include "settings/effective.h"
+#include "settings/explanation.h"
 #include "settings/quantity.h"
+#include "settings/reference.h"
 #include "settings/settings_errc.h"
 #include "settings/snapshot.h"
 #include "settings/tree.h"
--- a/src/libs/settings/settings_errc.cpp
+++ b/src/libs/settings/settings_errc.cpp
@@ -23,6 +23,8 @@
                 "duplicate_declaration", "the same thing is declared twice"},
     error_entry{int(settings_errc::inconsistent), "inconsistent",
                 "declarations contradict each other"},
+    error_entry{int(settings_errc::missing_setting), "missing_setting",
+                "a setting that must be declared is not"},
 };
 
 } // namespace
--- a/src/libs/settings/settings_errc.h
+++ b/src/libs/settings/settings_errc.h
@@ -16,6 +16,7 @@
     missing_reference,
     duplicate_declaration,
     inconsistent,
+    missing_setting,
 };
 
 [[nodiscard]] auto settings_category() -> const core::table_category&;
