Detect members and their states by gossip

Cause: nodes come and go without a coordination service, and one-way loss or a paused process must not flap the list. Change: SWIM with suspicion, incarnations, leaving as a state, indirect pings through relays, probes mostly within the zone, bounded messages, and repair of differences by a view hash. A pause of the observer prolongs its suspicions. Conclusion: fleet_test holds convergence, healing of partitions, stability under one-way loss, and independence of the order of records.

--- /dev/null
+++ b/src/libs/fleet/gossip_message.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/result.h"
+#include "fleet/member.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace almondtiller::fleet {
+
+/// What a node says about its configuration with each message.
+struct gossip_facts
+{
+    std::uint64_t config_revision = 0;
+    /// How long ago the platform confirmed the configuration, to this node or
+    /// to one that told it so; negative when never.
+    std::int64_t config_age_ms = -1;
+
+    auto operator==(const gossip_facts&) const -> bool = default;
+};
+
+/// A ping or its answer.
+struct gossip_message
+{
+    std::uint64_t view = 0; ///< Hash of the sender's member table.
+    bool wants_all = false; ///< The sender knows nobody yet.
+    gossip_facts facts;
+    std::vector<member> updates;
+
+    auto operator==(const gossip_message&) const -> bool = default;
+};
+
+/// Asks a peer to ping another node.
+struct ping_request
+{
+    core::node_id target;
+    std::string peer_address;
+
+    auto operator==(const ping_request&) const -> bool = default;
+};
+
+/// CBOR encodings; decoders fail with fleet_errc::malformed_message.
+[[nodiscard]] auto encode_gossip(const gossip_message& message) -> std::string;
+[[nodiscard]] auto decode_gossip(const std::string& bytes)
+    -> core::result<gossip_message>;
+[[nodiscard]] auto encode_ping_request(const ping_request& request)
+    -> std::string;
+[[nodiscard]] auto decode_ping_request(const std::string& bytes)
+    -> core::result<ping_request>;
+
+} // namespace almondtiller::fleet
--- /dev/null
+++ b/src/libs/fleet/member_table.cpp
@@ -0,0 +1,162 @@
+#include "fleet/member_table.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace almondtiller::fleet {
+
+namespace {
+
+/// Each update is passed on this often for each doubling of the fleet.
+constexpr auto retransmit_factor = std::uint32_t(3);
+
+auto is_newer(const member& left, const member& right) -> bool
+{
+    return std::pair(left.incarnation, left.state) >
+           std::pair(right.incarnation, right.state);
+}
+
+} // namespace
+
+member_table::member_table(const member& self) : self_id(self.id)
+{
+    this->store(self);
+}
+
+auto member_table::merge(const member& update) -> bool
+{
+    const auto found = this->known.find(update.id);
+    if (found != this->known.end() && !is_newer(update, found->second)) {
+        return false;
+    }
+    if (update.id == this->self_id) {
+        auto refuting = found->second;
+        refuting.incarnation = update.incarnation + 1;
+        this->store(refuting);
+        return true;
+    }
+    this->store(update);
+    return true;
+}
+
+auto member_table::leave() -> void
+{
+    auto leaving = this->self();
+    leaving.state = member_state::leaving;
+    this->store(leaving);
+}
+
+auto member_table::forget(const core::node_id& id) -> void
+{
+    this->known.erase(id);
+    this->sent.erase(id);
+    this->update_view();
+}
+
+auto member_table::requeue_self() -> void
+{
+    this->sent[this->self_id] = 0;
+}
+
+auto member_table::self() const -> const member&
+{
+    return this->known.at(this->self_id);
+}
+
+auto member_table::find(const core::node_id& id) const -> const member*
+{
+    const auto found = this->known.find(id);
+    return found == this->known.end() ? nullptr : &found->second;
+}
+
+auto member_table::members() const -> std::vector<member>
+{
+    auto listed = this->records();
+    std::erase_if(listed, [](const member& record) {
+        return record.state == member_state::dead;
+    });
+    return listed;
+}
+
+auto member_table::records() const -> std::vector<member>
+{
+    auto listed = std::vector<member>();
+    listed.reserve(this->known.size());
+    for (const auto& [id, record] : this->known) {
+        listed.push_back(record);
+    }
+    return listed;
+}
+
+auto member_table::view() const -> std::uint64_t
+{
+    return this->view_hash;
+}
+
+auto member_table::take_updates(std::size_t limit) -> std::vector<member>
+{
+    auto order = std::vector<std::pair<std::uint32_t, core::node_id>>();
+    for (const auto& [id, count] : this->sent) {
+        order.emplace_back(count, id);
+    }
+    std::sort(order.begin(), order.end());
+    auto updates = std::vector<member>();
+    const auto most = this->retransmissions();
+    for (const auto& [count, id] : order) {
+        if (updates.size() == limit) {
+            break;
+        }
+        updates.push_back(this->known.at(id));
+        if (++this->sent[id] >= most) {
+            this->sent.erase(id);
+        }
+    }
+    return updates;
+}
+
+auto member_table::sample(std::size_t limit, core::random_source& random) const
+    -> std::vector<member>
+{
+    auto listed = this->records();
+    if (listed.size() <= limit) {
+        return listed;
+    }
+    for (auto taken = std::size_t(0); taken < limit; ++taken) {
+        const auto other = taken + random.below(listed.size() - taken);
+        std::swap(listed[taken], listed[other]);
+    }
+    listed.resize(limit);
+    return listed;
+}
+
+auto member_table::store(const member& record) -> void
+{
+    this->known[record.id] = record;
+    this->sent[record.id] = 0;
+    this->update_view();
+}
+
+auto member_table::retransmissions() const -> std::uint32_t
+{
+    return retransmit_factor *
+           std::uint32_t(std::bit_width(this->known.size()));
+}
+
+auto member_table::update_view() -> void
+{
+    this->view_hash = 0;
+    for (const auto& [id, record] : this->known) {
+        if (record.state == member_state::dead) {
+            continue;
+        }
+        const auto seed = record.incarnation * 4 + std::uint64_t(record.state);
+        this->view_hash ^=
+            XXH3_64bits_withSeed(id.str().data(), id.str().size(), seed);
+    }
+}
+
+} // namespace almondtiller::fleet
--- /dev/null
+++ b/tests/unit/fleet/membership_test.cpp
@@ -0,0 +1,274 @@
+#include "fleet/membership.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace almondtiller::fleet {
+namespace {
+
+auto named(int number) -> member
+{
+    auto made = member();
+    made.id = core::node_id("n" + std::to_string(number));
+    made.incarnation = 1;
+    made.zone = core::zone_name("z" + std::to_string(number % 3));
+    made.address = "127.0.0.1:" + std::to_string(number);
+    made.peer_address = made.address;
+    return made;
+}
+
+/// Nodes on a simulated network; each ping is answered at once or lost.
+class network
+{
+public:
+    explicit network(int size, std::uint64_t seed = 7)
+    {
+        auto contacts = std::vector<member>();
+        for (auto number = 0; number < size; ++number) {
+            contacts.push_back(named(number));
+        }
+        for (const auto& self : contacts) {
+            this->nodes[self.id] = std::make_unique<membership>(
+                self, this->options, seed + this->nodes.size());
+            this->nodes[self.id]->set_contacts(contacts);
+        }
+    }
+
+    auto run(int rounds) -> void
+    {
+        for (auto round = 0; round < rounds; ++round) {
+            this->now += this->options.interval;
+            for (auto& [id, node] : this->nodes) {
+                if (!this->paused.contains(id)) {
+                    this->deliver(id, node->tick(this->now));
+                }
+            }
+        }
+    }
+
+    auto deliver(const core::node_id& from,
+                 const std::vector<probe_order>& orders) -> void
+    {
+        auto& node = *this->nodes[from];
+        for (const auto& order : orders) {
+            const auto& asking = order.relay ? order.relay->id : from;
+            const auto reached =
+                !order.relay || this->can_exchange(from, order.relay->id);
+            const auto answered =
+                reached && this->ping(asking, order.target.id);
+            this->deliver(from,
+                          node.on_probe_result(order, answered, this->now));
+        }
+    }
+
+    auto ping(const core::node_id& from, const core::node_id& target) -> bool
+    {
+        const auto message = this->nodes[from]->make_ping(target);
+        const auto there = this->can_send(from, target);
+        if (!there) {
+            return false;
+        }
+        const auto ack = this->nodes[target]->on_ping(message, this->now);
+        if (!this->can_send(target, from)) {
+            return false;
+        }
+        this->nodes[from]->on_ack(ack, this->now);
+        return true;
+    }
+
+    auto can_send(const core::node_id& from, const core::node_id& target)
+        -> bool
+    {
+        return !this->paused.contains(from) && !this->paused.contains(target) &&
+               !this->cut.contains({from, target});
+    }
+
+    auto can_exchange(const core::node_id& left, const core::node_id& right)
+        -> bool
+    {
+        return this->can_send(left, right) && this->can_send(right, left);
+    }
+
+    auto state_at(int observer, int subject) -> member_state
+    {
+        const auto* found =
+            this->nodes[named(observer).id]->table().find(named(subject).id);
+        return found == nullptr ? member_state::dead : found->state;
+    }
+
+    auto is_converged() -> bool
+    {
+        const auto expected = this->nodes.size() - this->paused.size();
+        auto views = std::set<std::uint64_t>();
+        for (const auto& [id, node] : this->nodes) {
+            if (this->paused.contains(id)) {
+                continue;
+            }
+            views.insert(node->table().view());
+            if (node->table().members().size() != expected) {
+                return false;
+            }
+        }
+        return views.size() == 1;
+    }
+
+    membership_options options;
+    core::time_point now = core::time_point() + std::chrono::hours(1);
+    std::map<core::node_id, std::unique_ptr<membership>> nodes;
+    std::set<core::node_id> paused;
+    std::set<std::pair<core::node_id, core::node_id>> cut;
+};
+
+TEST(membership_test, nodes_find_each_other)
+{
+    auto fleet = network(12);
+    fleet.run(20);
+    EXPECT_TRUE(fleet.is_converged());
+}
+
+TEST(membership_test, silent_node_is_suspected_before_it_is_dead)
+{
+    auto fleet = network(6);
+    fleet.run(20);
+    fleet.paused.insert(named(5).id);
+    fleet.run(3);
+    EXPECT_NE(fleet.state_at(0, 5), member_state::dead);
+    fleet.run(30);
+    EXPECT_EQ(fleet.state_at(0, 5), member_state::dead);
+}
+
+TEST(membership_test, resumed_node_comes_back_with_a_higher_incarnation)
+{
+    auto fleet = network(6);
+    fleet.run(20);
+    fleet.paused.insert(named(5).id);
+    fleet.run(40);
+    ASSERT_EQ(fleet.state_at(0, 5), member_state::dead);
+    fleet.paused.clear();
+    fleet.run(40);
+    EXPECT_TRUE(fleet.is_converged());
+    const auto* back = fleet.nodes[named(0).id]->table().find(named(5).id);
+    EXPECT_GT(back->incarnation, 1U);
+}
+
+TEST(membership_test, one_way_loss_does_not_change_the_list)
+{
+    auto fleet = network(6);
+    fleet.run(20);
+    fleet.cut.insert({named(0).id, named(3).id});
+    for (auto round = 0; round < 60; ++round) {
+        fleet.run(1);
+        for (auto observer = 0; observer < 6; ++observer) {
+            ASSERT_EQ(fleet.state_at(observer, 3), member_state::alive);
+            ASSERT_EQ(fleet.state_at(observer, 0), member_state::alive);
+        }
+    }
+}
+
+TEST(membership_test, resumed_observer_does_not_declare_others_dead)
+{
+    auto fleet = network(6);
+    fleet.run(20);
+    fleet.paused.insert(named(0).id);
+    fleet.now += std::chrono::seconds(2);
+    fleet.paused.clear();
+    fleet.now += std::chrono::seconds(60);
+    fleet.run(1);
+    for (auto subject = 1; subject < 6; ++subject) {
+        EXPECT_EQ(fleet.state_at(0, subject), member_state::alive);
+    }
+}
+
+TEST(membership_test, partition_heals)
+{
+    auto fleet = network(9);
+    fleet.run(20);
+    for (const auto& [left, unused] : fleet.nodes) {
+        for (const auto& [right, also_unused] : fleet.nodes) {
+            const auto is_left = left < named(5).id;
+            if (is_left != (right < named(5).id)) {
+                fleet.cut.insert({left, right});
+            }
+        }
+    }
+    fleet.run(60);
+    EXPECT_EQ(fleet.state_at(0, 8), member_state::dead);
+    fleet.cut.clear();
+    fleet.run(120);
+    EXPECT_TRUE(fleet.is_converged());
+}
+
+TEST(membership_test, leaving_spreads_and_sticks)
+{
+    auto fleet = network(6);
+    fleet.run(20);
+    fleet.nodes[named(2).id]->leave();
+    fleet.run(10);
+    for (auto observer = 0; observer < 6; ++observer) {
+        EXPECT_EQ(fleet.state_at(observer, 2), member_state::leaving);
+    }
+    fleet.run(40);
+    EXPECT_EQ(fleet.state_at(0, 2), member_state::leaving);
+}
+
+TEST(membership_test, messages_are_bounded_at_420_nodes)
+{
+    auto self = named(0);
+    auto node = membership(self, {}, 1);
+    const auto now = core::time_point();
+    auto everybody = gossip_message();
+    for (auto number = 1; number < 420; ++number) {
+        everybody.updates.push_back(named(number));
+    }
+    node.on_ack(everybody, now);
+    EXPECT_EQ(node.table().members().size(), 420U);
+    EXPECT_LE(node.make_ping(named(1).id).updates.size(), 10U);
+    EXPECT_LE(node.on_ping({}, now).updates.size(), 16U);
+}
+
+/// Tables that saw the same records in any order are equal, never take a
+/// smaller record, and keep leaving within an incarnation.
+RC_GTEST_PROP(member_table_properties, order_does_not_matter,
+              (std::vector<std::pair<std::uint8_t, std::uint8_t>> seen))
+{
+    auto forward = member_table(named(0));
+    auto backward = member_table(named(0));
+    const auto record = [](const auto& entry) {
+        auto made = named(1 + entry.first % 3);
+        made.incarnation = entry.second / 4;
+        made.state = member_state(entry.second % 4);
+        return made;
+    };
+    for (const auto& entry : seen) {
+        const auto made = record(entry);
+        const auto* before = forward.find(made.id);
+        const auto old = before == nullptr ? member() : *before;
+        forward.merge(made);
+        const auto after = *forward.find(made.id);
+        RC_ASSERT(std::pair(after.incarnation, after.state) >=
+                  std::pair(old.incarnation, old.state));
+    }
+    for (auto entry = seen.rbegin(); entry != seen.rend(); ++entry) {
+        backward.merge(record(*entry));
+    }
+    RC_ASSERT(forward.records() == backward.records());
+    RC_ASSERT(forward.view() == backward.view());
+}
+
+RC_GTEST_PROP(gossip_message_properties, decoder_takes_any_bytes,
+              (const std::string& bytes))
+{
+    static_cast<void>(decode_gossip(bytes));
+    static_cast<void>(decode_ping_request(bytes));
+    auto message = gossip_message();
+    message.updates = {named(1), named(2)};
+    RC_ASSERT(decode_gossip(encode_gossip(message)).value() == message);
+}
+
+} // namespace
+} // namespace almondtiller::fleet
