Carry messages between nodes over HTTP/2

Cause: nodes need calls with a timeout that do not block on a silent peer. Change: h2_session wraps nghttp2 without sockets; peer_connection and peer_channel add Asio sockets, one connection to each called peer, jittered reconnects and bounds on bodies and calls. The service peers runs the failure detector and the handlers of topics, those that may block on an arena. Conclusion: fleet_test covers large bodies, silent and stopped peers, typed errors and garbage.

--- a/src/libs/fleet/fleet_errc.cpp
+++ b/src/libs/fleet/fleet_errc.cpp
@@ -35,6 +35,10 @@
                 "too many calls to the peer are under way"},
     error_entry{int(fleet_errc::shutting_down), "shutting_down",
                 "this node no longer talks to peers"},
+    error_entry{int(fleet_errc::peer_failed), "peer_failed",
+                "the peer failed to answer"},
+    error_entry{int(fleet_errc::address_unavailable), "address_unavailable",
+                "the address for peers cannot be listened on"},
 };
 
 } // namespace
--- a/src/libs/fleet/fleet_errc.h
+++ b/src/libs/fleet/fleet_errc.h
@@ -22,6 +22,8 @@
     message_too_large,
     too_many_calls,
     shutting_down,
+    peer_failed,
+    address_unavailable,
 };
 
 [[nodiscard]] auto fleet_category() -> const core::table_category&;
--- a/src/services/directory/directory_service.cpp
+++ b/src/services/directory/directory_service.cpp
@@ -1,6 +1,7 @@
 #include "services/directory/directory_service.h"
 
 #include "core/periodic_task.h"
+#include "fleet/gossip_channel.h"
 #include "fleet/peer_bus.h"
 #include "kernel/kernel.h"
 #include "platform/platform_service.h"
@@ -17,11 +18,33 @@
 constexpr auto poll_interval = core::milliseconds(500);
 constexpr auto call_timeout = core::milliseconds(1000);
 
+/// \return The nodes among the listed instances.
+auto to_contacts(const std::vector<platform::instance>& listed)
+    -> std::vector<fleet::member>
+{
+    auto contacts = std::vector<fleet::member>();
+    for (const auto& instance : listed) {
+        if (instance.role != platform::instance_role::node ||
+            instance.state != platform::instance_state::live) {
+            continue;
+        }
+        auto contact = fleet::member();
+        contact.id = core::node_id(instance.id);
+        contact.zone = instance.zone;
+        contact.region = instance.region;
+        contact.address = instance.address;
+        contact.peer_address = instance.peer_address;
+        contacts.push_back(contact);
+    }
+    return contacts;
+}
+
 } // namespace
 
 struct directory_service::state
 {
     platform::object_store* store = nullptr;
+    fleet::gossip_channel* gossip = nullptr;
     mutable std::mutex mutex;
     std::vector<platform::instance> upstreams;
     std::vector<change_handler> handlers;
@@ -37,6 +60,7 @@
     if (!listed) {
         return;
     }
+    this->gossip->set_contacts(to_contacts(listed.value()));
     std::erase_if(listed.value(), [](const auto& instance) {
         return instance.role != platform::instance_role::upstream;
     });
@@ -89,6 +113,8 @@
 {
     this->data->store =
         kernel.find<platform::object_store>(platform::platform_service_name);
+    this->data->gossip =
+        kernel.find<fleet::gossip_channel>(fleet::peers_service_name);
     this->data->task = std::make_unique<core::periodic_task>(
         kernel.clock(), [this]() -> core::duration {
             this->data->poll();
--- /dev/null
+++ b/src/services/peers/peer_connection.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "services/peers/h2_session.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <atomic>
+#include <memory>
+
+namespace almondtiller::services {
+
+/// Counts the bytes of every connection.
+struct traffic_counters
+{
+    std::atomic<std::uint64_t> sent = 0;
+    std::atomic<std::uint64_t> received = 0;
+};
+
+/// A socket with its HTTP/2 session. Used on the I/O thread only.
+class peer_connection : public std::enable_shared_from_this<peer_connection>
+{
+public:
+    /// \param on_closed Called once, when the connection has ended by itself.
+    peer_connection(boost::asio::ip::tcp::socket socket, h2_role role,
+                    h2_hooks hooks, traffic_counters& counters,
+                    std::function<void()> on_closed);
+
+    /// Starts to read and write.
+    auto start() -> void;
+
+    /// Writes what the session has to say.
+    auto flush() -> void;
+
+    /// Closes the socket; on_closed is not called.
+    auto close() -> void;
+
+    [[nodiscard]] auto session() -> h2_session&;
+
+private:
+    auto read() -> void;
+    auto fail() -> void;
+
+    boost::asio::ip::tcp::socket socket;
+    traffic_counters& counters;
+    std::function<void()> on_closed;
+    std::array<char, 16384> buffer{};
+    std::string writing;
+    bool is_writing = false;
+    bool is_closed = false;
+    h2_session h2;
+};
+
+} // namespace almondtiller::services
--- a/src/services/peers/peers_service.h
+++ b/src/services/peers/peers_service.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "fleet/gossip_channel.h"
 #include "fleet/peer_bus.h"
 #include "kernel/service.h"
+#include "kernel/status_provider.h"
 
 #include <memory>
 
@@ -17,7 +19,10 @@
 };
 
 /// Knows the other nodes and carries messages to them.
-class peers_service : public kernel::service, public fleet::peer_bus
+class peers_service : public kernel::service,
+                      public kernel::status_provider,
+                      public fleet::peer_bus,
+                      public fleet::gossip_channel
 {
 public:
     explicit peers_service(peers_options options = {});
@@ -41,6 +46,13 @@
         -> void override;
     auto announce_leaving() -> void override;
 
+    auto set_contacts(const std::vector<fleet::member>& contacts)
+        -> void override;
+    auto set_facts_source(facts_source source) -> void override;
+    auto on_facts(facts_handler handler) -> void override;
+
+    [[nodiscard]] auto status() const -> std::string override;
+
     /// \return The port that was bound for peers.
     [[nodiscard]] auto peer_port() const -> int;
 
