--- /dev/null
+++ b/src/services/upstreams/pool_queue.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/clock.h"
+#include "pipeline/run_actions.h"
+#include "routing/pool_scheduler.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace almondtiller::services {
+
+/// What a pool looks like at one moment.
+struct pool_view
+{
+    std::vector<routing::upstream_member> members;
+    std::map<core::upstream_id, std::uint32_t> in_flight;
+    std::size_t waiting = 0;
+
+    auto operator==(const pool_view&) const -> bool = default;
+};
+
+/// One pool's scheduler behind one mutex, with the threads that wait for
+/// their dispatch. Thread-safe.
+class pool_queue
+{
+public:
+    using decision = std::variant<routing::dispatch, routing::refusal>;
+
+    pool_queue(const core::runtime_clock& clock,
+               const settings::pool_settings& settings,
+               const core::zone_name& local_zone, std::uint64_t seed);
+
+    auto configure(const settings::pool_settings& settings) -> void;
+    auto set_members(std::vector<routing::upstream_member> members) -> void;
+
+    /// Submits an attempt and blocks until it is dispatched or refused.
+    auto await(routing::work submitted,
+               const std::function<bool()>& is_abandoned) -> decision;
+
+    auto finish(const routing::attempt_result& result) -> void;
+    auto report_load(const routing::load_report& report) -> void;
+    auto grant_cold_slots(const routing::cold_grant& grant) -> void;
+    auto advance() -> void;
+
+    [[nodiscard]] auto next_timer() const -> std::optional<core::time_point>;
+    [[nodiscard]] auto cold_demand() const
+        -> std::map<core::upstream_id, std::uint32_t>;
+    [[nodiscard]] auto estimate() const -> pipeline::stage_estimate;
+    [[nodiscard]] auto view() const -> pool_view;
+
+private:
+    struct waiter
+    {
+        std::condition_variable decided;
+        std::optional<decision> outcome;
+    };
+
+    auto apply(const routing::actions& taken) -> void;
+    auto drop_useless_exclusions(routing::work& submitted) const -> void;
+
+    const core::runtime_clock& clock;
+    mutable std::mutex mutex;
+    routing::pool_scheduler scheduler;
+    std::vector<routing::upstream_member> members;
+    std::unordered_map<core::attempt_id, waiter*> waiters;
+    std::map<core::upstream_id, std::uint32_t> in_flight;
+};
+
+} // namespace almondtiller::services
