Follow the scheduler's cold slots, limits and backoff

Cause: the scheduler bounds dispatches to cold upstreams and knows the state of each upstream. Change: attempts end at dispatch::finish_by, pool_access passes denials and lists cold upstreams, the status comes from the scheduler, retries use its backoff. An attempt without an estimate gets half of the stage's time while another may follow, so that a black hole costs no whole deadline. Hashing is inlined. Conclusion: the request path uses what routing decides.

--- a/src/libs/pipeline/pipeline_run.cpp
+++ b/src/libs/pipeline/pipeline_run.cpp
@@ -1,6 +1,7 @@
 #include "pipeline/pipeline_run.h"
 
 #include "api/api_errc.h"
+#include "routing/backoff.h"
 #include "routing/routing_errc.h"
 
 #include <algorithm>
@@ -13,8 +14,6 @@
 using routing::attempt_end;
 using routing::attempt_reason;
 
-constexpr auto first_backoff = core::milliseconds(4);
-constexpr auto max_backoff = core::milliseconds(200);
 constexpr auto default_retry_after = core::milliseconds(250);
 /// An attempt that takes so many times the slow estimate is given up while
 /// another may still follow.
@@ -106,9 +105,11 @@
     const auto slow = this->planned.estimates[this->stage_index].slow;
     const auto may_follow = this->stage().idempotent && !made.stream &&
                             record.attempts < this->stage().max_attempts;
-    if (may_follow && slow > core::duration::zero()) {
+    if (may_follow) {
         made.timeout =
-            std::max<core::duration>(timeout_factor * slow, min_timeout);
+            slow > core::duration::zero()
+                ? std::max<core::duration>(timeout_factor * slow, min_timeout)
+                : (made.deadline - now) / 2;
     }
     return made;
 }
@@ -187,12 +188,12 @@
     -> run_actions
 {
     const auto& record = this->stage_records[this->stage_index];
-    const auto pause = this->backoff();
-    const auto has_time =
-        now + pause + this->stage().min_budget < this->planned.deadline;
-    if (!this->abandoned && has_time &&
+    const auto pause = routing::retry_delay(
+        {}, record.attempts - 1, this->planned.deadline - now,
+        this->least_need(this->stage_index), this->random);
+    if (!this->abandoned && pause &&
         record.attempts < this->stage().max_attempts) {
-        auto made = this->make_attempt(attempt_reason::retry, now + pause);
+        auto made = this->make_attempt(attempt_reason::retry, now + *pause);
         made.cause = report.end;
         return {made};
     }
@@ -200,7 +201,7 @@
     if (this->abandoned) {
         return this->fail(api::api_errc::caller_gone, {});
     }
-    if (!has_time || report.end == attempt_end::timed_out) {
+    if (!pause || report.end == attempt_end::timed_out) {
         return this->fail(api::api_errc::deadline_exceeded,
                           default_retry_after);
     }
@@ -313,17 +314,6 @@
                                  : api::failed_outcome::not_run;
 }
 
-auto pipeline_run::backoff() -> core::duration
-{
-    const auto attempts = this->stage_records[this->stage_index].attempts;
-    auto ceiling = core::duration(first_backoff);
-    for (auto step = std::uint32_t(1); step < attempts; ++step) {
-        ceiling = std::min<core::duration>(2 * ceiling, max_backoff);
-    }
-    return core::duration(
-        std::int64_t(this->random.unit() * double(ceiling.count())));
-}
-
 auto pipeline_run::fail(std::error_code code, core::duration retry_after)
     -> run_actions
 {
--- a/src/libs/pipeline/pipeline_run.h
+++ b/src/libs/pipeline/pipeline_run.h
@@ -73,7 +73,6 @@
         -> run_actions;
     auto retry(const attempt_report& report, core::time_point now)
         -> run_actions;
-    auto backoff() -> core::duration;
     auto fail(std::error_code code, core::duration retry_after) -> run_actions;
     auto finish_stage(core::time_point now) -> void;
 
--- a/src/services/execution/attempt_order_maker.cpp
+++ b/src/services/execution/attempt_order_maker.cpp
@@ -1,5 +1,6 @@
 #include "services/execution/attempt_order_maker.h"
 
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
@@ -44,6 +45,7 @@
     work.workspace = request.workspace;
     if (const auto* found = snapshot.find_workspace(request.workspace)) {
         work.workspace_weight = found->weight;
+        work.max_in_flight = found->max_in_flight;
     }
     work.priority = std::int32_t(request.priority);
     work.deadline = wanted.deadline;
--- a/src/services/execution/execution_service.cpp
+++ b/src/services/execution/execution_service.cpp
@@ -7,6 +7,7 @@
 #include "services/execution/attempt_order_maker.h"
 #include "services/upstreams/pool_access.h"
 
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
--- a/src/services/upstreams/pool_access.h
+++ b/src/services/upstreams/pool_access.h
@@ -29,9 +29,19 @@
     [[nodiscard]] virtual auto cold_demand(const core::pool_name& pool) const
         -> demand = 0;
 
+    /// \return The pool's cold upstreams, those without demand included.
+    [[nodiscard]] virtual auto cold_upstreams(const core::pool_name& pool) const
+        -> std::vector<routing::cold_upstream> = 0;
+
     /// Passes a grant to the pool's scheduler; ignored for unknown pools.
     virtual auto grant_cold_slots(const core::pool_name& pool,
                                   const routing::cold_grant& grant) -> void = 0;
+
+    /// Tells the pool's scheduler that there will be no slots of an upstream
+    /// for \a retry_after; ignored for unknown pools.
+    virtual auto deny_cold_slots(const core::pool_name& pool,
+                                 const core::upstream_id& id,
+                                 core::duration retry_after) -> void = 0;
 };
 
 /// The name of the service that implements pool_access and attempt_runner.
--- a/src/services/upstreams/pool_queue.cpp
+++ b/src/services/upstreams/pool_queue.cpp
@@ -34,16 +34,15 @@
     this->apply(this->scheduler.configure(settings, this->clock.now()));
 }
 
-auto pool_queue::set_members(std::vector<routing::upstream_member> members)
-    -> void
+auto pool_queue::set_members(
+    const std::vector<routing::upstream_member>& members) -> void
 {
     const auto guard = std::lock_guard(this->mutex);
     if (members == this->members) {
         return;
     }
     this->members = members;
-    this->apply(
-        this->scheduler.set_members(std::move(members), this->clock.now()));
+    this->apply(this->scheduler.set_members(members, this->clock.now()));
 }
 
 auto pool_queue::await(routing::work submitted,
@@ -72,8 +71,6 @@
 auto pool_queue::finish(const routing::attempt_result& result) -> void
 {
     const auto guard = std::lock_guard(this->mutex);
-    auto& load = this->in_flight[result.upstream];
-    load = load > 0 ? load - 1 : 0;
     this->apply(this->scheduler.finish(result, this->clock.now()));
 }
 
@@ -89,6 +86,14 @@
     this->apply(this->scheduler.grant_cold_slots(grant, this->clock.now()));
 }
 
+auto pool_queue::deny_cold_slots(const core::upstream_id& id,
+                                 core::duration retry_after) -> void
+{
+    const auto guard = std::lock_guard(this->mutex);
+    this->apply(
+        this->scheduler.deny_cold_slots(id, retry_after, this->clock.now()));
+}
+
 auto pool_queue::advance() -> void
 {
     const auto guard = std::lock_guard(this->mutex);
@@ -108,6 +113,12 @@
     return this->scheduler.cold_demand();
 }
 
+auto pool_queue::cold_upstreams() const -> std::vector<routing::cold_upstream>
+{
+    const auto guard = std::lock_guard(this->mutex);
+    return this->scheduler.cold_upstreams(this->clock.now());
+}
+
 auto pool_queue::estimate() const -> pipeline::stage_estimate
 {
     const auto guard = std::lock_guard(this->mutex);
@@ -119,15 +130,13 @@
 auto pool_queue::view() const -> pool_view
 {
     const auto guard = std::lock_guard(this->mutex);
-    return {this->members, this->in_flight, this->waiters.size()};
+    return {this->scheduler.status(this->clock.now()),
+            this->scheduler.queued()};
 }
 
 auto pool_queue::apply(const routing::actions& taken) -> void
 {
     for (const auto& action : taken) {
-        if (const auto* sent = std::get_if<routing::dispatch>(&action)) {
-            ++this->in_flight[sent->upstream];
-        }
         const auto found = this->waiters.find(id_of(action));
         if (found == this->waiters.end()) {
             continue;
--- a/src/services/upstreams/pool_queue.h
+++ b/src/services/upstreams/pool_queue.h
@@ -17,9 +17,8 @@
 /// What a pool looks like at one moment.
 struct pool_view
 {
-    std::vector<routing::upstream_member> members;
-    std::map<core::upstream_id, std::uint32_t> in_flight;
-    std::size_t waiting = 0;
+    std::vector<routing::upstream_status> upstreams;
+    std::size_t queued = 0;
 
     auto operator==(const pool_view&) const -> bool = default;
 };
@@ -36,7 +35,8 @@
                const core::zone_name& local_zone, std::uint64_t seed);
 
     auto configure(const settings::pool_settings& settings) -> void;
-    auto set_members(std::vector<routing::upstream_member> members) -> void;
+    auto set_members(const std::vector<routing::upstream_member>& members)
+        -> void;
 
     /// Submits an attempt and blocks until it is dispatched or refused.
     auto await(routing::work submitted,
@@ -45,11 +45,15 @@
     auto finish(const routing::attempt_result& result) -> void;
     auto report_load(const routing::load_report& report) -> void;
     auto grant_cold_slots(const routing::cold_grant& grant) -> void;
+    auto deny_cold_slots(const core::upstream_id& id,
+                         core::duration retry_after) -> void;
     auto advance() -> void;
 
     [[nodiscard]] auto next_timer() const -> std::optional<core::time_point>;
     [[nodiscard]] auto cold_demand() const
         -> std::map<core::upstream_id, std::uint32_t>;
+    [[nodiscard]] auto cold_upstreams() const
+        -> std::vector<routing::cold_upstream>;
     [[nodiscard]] auto estimate() const -> pipeline::stage_estimate;
     [[nodiscard]] auto view() const -> pool_view;
 
@@ -68,7 +72,6 @@
     routing::pool_scheduler scheduler;
     std::vector<routing::upstream_member> members;
     std::unordered_map<core::attempt_id, waiter*> waiters;
-    std::map<core::upstream_id, std::uint32_t> in_flight;
 };
 
 } // namespace almondtiller::services
--- a/src/services/upstreams/upstreams_service.cpp
+++ b/src/services/upstreams/upstreams_service.cpp
@@ -28,6 +28,14 @@
     "almondtiller_cancellations_total", core::metric_kind::counter,
     "Attempts that upstreams were told to stop."};
 
+auto state_name(const routing::upstream_status& upstream) -> const char*
+{
+    if (upstream.ejected) {
+        return "ejected";
+    }
+    return upstream.cold ? "cold" : "warm";
+}
+
 } // namespace
 
 upstreams_service::upstreams_service(core::zone_name local_zone)
@@ -106,14 +114,15 @@
         return *refusal;
     }
     const auto& sent = std::get<routing::dispatch>(decision);
-    return this->dispatch(order, hooks, *queue, sent.upstream);
+    return this->dispatch(order, hooks, *queue, sent);
 }
 
 auto upstreams_service::dispatch(const attempt_order& order,
                                  const attempt_hooks& hooks, pool_queue& queue,
-                                 const core::upstream_id& upstream)
+                                 const routing::dispatch& sent)
     -> attempt_conclusion
 {
+    const auto& upstream = sent.upstream;
     const auto address = this->address_of(upstream);
     auto result = routing::attempt_result();
     result.id = order.work.id;
@@ -125,7 +134,7 @@
         return routing::refusal{
             order.work.id, routing::routing_errc::deadline_passed, {}};
     }
-    auto deadline = order.work.deadline;
+    auto deadline = std::min(order.work.deadline, sent.finish_by);
     if (order.timeout) {
         deadline = std::min(deadline, start + *order.timeout);
     }
@@ -194,6 +203,23 @@
     }
 }
 
+auto upstreams_service::cold_upstreams(const core::pool_name& pool) const
+    -> std::vector<routing::cold_upstream>
+{
+    const auto queue = this->find(pool);
+    return queue ? queue->cold_upstreams()
+                 : std::vector<routing::cold_upstream>();
+}
+
+auto upstreams_service::deny_cold_slots(const core::pool_name& pool,
+                                        const core::upstream_id& id,
+                                        core::duration retry_after) -> void
+{
+    if (const auto queue = this->find(pool)) {
+        queue->deny_cold_slots(id, retry_after);
+    }
+}
+
 auto upstreams_service::find(const core::pool_name& pool) const -> pool_pointer
 {
     const auto guard = std::shared_lock(this->mutex);
@@ -229,13 +255,13 @@
         }
     }
     for (const auto& [name, settings] : snapshot->pools) {
-        this->update_pool(settings, std::move(members[name]));
+        this->update_pool(settings, members[name]);
     }
 }
 
 auto upstreams_service::update_pool(
     const settings::pool_settings& settings,
-    std::vector<routing::upstream_member> members) -> void
+    const std::vector<routing::upstream_member>& members) -> void
 {
     auto queue = this->find(settings.name);
     if (queue) {
@@ -246,7 +272,7 @@
         const auto guard = std::unique_lock(this->mutex);
         this->queues.emplace(settings.name, queue);
     }
-    queue->set_members(std::move(members));
+    queue->set_members(members);
 }
 
 auto upstreams_service::advance_timers() -> core::duration
@@ -278,18 +304,16 @@
         }
         const auto view = queue->view();
         auto upstreams = nlohmann::json::array();
-        for (const auto& member : view.members) {
-            const auto load = view.in_flight.find(member.id);
-            upstreams.push_back(
-                {{"id", member.id.str()},
-                 {"zone", member.zone.str()},
-                 {"state", member.accepts_work ? "warm" : "leaving"},
-                 {"in_flight",
-                  load == view.in_flight.end() ? 0 : load->second}});
+        for (const auto& upstream : view.upstreams) {
+            upstreams.push_back({{"id", upstream.id.str()},
+                                 {"zone", upstream.zone.str()},
+                                 {"state", state_name(upstream)},
+                                 {"in_flight", upstream.in_flight},
+                                 {"limit", upstream.limit}});
         }
         pools.push_back({{"pool", name.str()},
                          {"upstreams", upstreams},
-                         {"queued", view.waiting}});
+                         {"queued", view.queued}});
     }
     return nlohmann::json{{"pools", pools}}.dump();
 }
--- a/src/services/upstreams/upstreams_service.h
+++ b/src/services/upstreams/upstreams_service.h
@@ -52,6 +52,11 @@
         -> demand override;
     auto grant_cold_slots(const core::pool_name& pool,
                           const routing::cold_grant& grant) -> void override;
+    [[nodiscard]] auto cold_upstreams(const core::pool_name& pool) const
+        -> std::vector<routing::cold_upstream> override;
+    auto deny_cold_slots(const core::pool_name& pool,
+                         const core::upstream_id& id,
+                         core::duration retry_after) -> void override;
 
     [[nodiscard]] auto status() const -> std::string override;
 
@@ -63,9 +68,10 @@
         -> std::string;
     auto refresh() -> void;
     auto update_pool(const settings::pool_settings& settings,
-                     std::vector<routing::upstream_member> members) -> void;
+                     const std::vector<routing::upstream_member>& members)
+        -> void;
     auto dispatch(const attempt_order& order, const attempt_hooks& hooks,
-                  pool_queue& queue, const core::upstream_id& upstream)
+                  pool_queue& queue, const routing::dispatch& sent)
         -> attempt_conclusion;
     auto count_end(const call_outcome& outcome) -> void;
     auto advance_timers() -> core::duration;
