--- a/src/services/entry/entry_service.cpp
+++ b/src/services/entry/entry_service.cpp
@@ -46,8 +46,14 @@
 {
     event_queue queue;
     api::run_request wanted;
+    std::function<bool()> is_caller_gone;
     std::thread thread;
 
+    [[nodiscard]] auto is_abandoned() const -> bool
+    {
+        return this->queue.is_abandoned() || this->is_caller_gone();
+    }
+
     ~streamed_run()
     {
         if (this->thread.joinable()) {
@@ -65,7 +71,7 @@
             next.events += last_event(*next.conclusion);
         }
         const auto written = sink.write(next.events.data(), next.events.size());
-        if (!written || !sink.is_writable()) {
+        if (!written) {
             this->queue.abandon();
         }
         if (next.conclusion) {
@@ -159,7 +165,9 @@
 auto entry_service::run_whole(const api::run_request& wanted,
                               httplib::Response& response) -> void
 {
-    write_conclusion(this->execution->run(wanted, {}), response);
+    auto hooks = run_hooks();
+    hooks.is_abandoned = http_service::caller_probe();
+    write_conclusion(this->execution->run(wanted, hooks), response);
 }
 
 /// Runs the request on a thread of its own. What fails before the first token
@@ -169,13 +177,14 @@
 {
     auto run = std::make_shared<streamed_run>();
     run->wanted = wanted;
+    run->is_caller_gone = http_service::caller_probe();
     run->thread = std::thread([this, run = run.get()] {
         auto hooks = run_hooks();
         hooks.on_token = [run](std::uint64_t index, std::string_view text) {
             run->queue.push_token(index, text);
         };
         hooks.is_abandoned = [run] {
-            return run->queue.is_abandoned();
+            return run->is_abandoned();
         };
         run->queue.push_conclusion(this->execution->run(run->wanted, hooks));
     });
--- a/src/services/http/http_service.h
+++ b/src/services/http/http_service.h
@@ -2,6 +2,7 @@
 
 #include "kernel/service.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,6 +32,10 @@
     int port = 0;        ///< 0 takes any free port.
     std::size_t max_body_bytes = std::size_t(8) << 20U;
     std::size_t max_connections = 1024;
+    /// How long a connection may be idle.
+    std::chrono::milliseconds keep_alive{15000};
+    /// How long one whole request may take to arrive.
+    std::chrono::milliseconds request_read{10000};
 
     auto operator==(const http_options&) const -> bool = default;
 };
@@ -60,12 +65,18 @@
     /// Accepts connections from now on.
     auto start_listening() -> void;
 
-    /// Stops accepting and waits for the connections under way. Idempotent.
+    /// Stops accepting, closes idle connections and waits for the requests
+    /// under way. Idempotent.
     auto stop_listening() -> void;
 
     /// \return The port that was bound.
     [[nodiscard]] auto port() const -> int;
 
+    /// \return Tells whether the caller has closed the connection that the
+    ///         calling thread serves; valid while its request is served, on
+    ///         any thread.
+    [[nodiscard]] static auto caller_probe() -> std::function<bool()>;
+
 private:
     struct state;
     std::unique_ptr<state> data;
