Compose a node of every service that has landed

Cause: a node served nothing. Change: compose adds peers, config, directory, claims, upstreams, execution, entry, endpoints and leave.

--- a/src/apps/almondtiller/compose.cpp
+++ b/src/apps/almondtiller/compose.cpp
@@ -1,8 +1,17 @@
 #include "compose.h"
 
 #include "platform/platform_service.h"
+#include "services/claims/claims_service.h"
+#include "services/config/config_service.h"
+#include "services/directory/directory_service.h"
+#include "services/endpoints/endpoints_service.h"
+#include "services/entry/entry_service.h"
+#include "services/execution/execution_service.h"
 #include "services/http/http_service.h"
+#include "services/leave/leave_service.h"
 #include "services/node/node_service.h"
+#include "services/peers/peers_service.h"
+#include "services/upstreams/upstreams_service.h"
 
 #include <memory>
 #include <vector>
@@ -24,6 +33,19 @@
                                                             options.advertise));
     made.push_back(
         std::make_unique<platform::platform_service>(options.platform));
+    auto peers = services::peers_options();
+    peers.address = options.peer_address;
+    peers.port = options.peer_port;
+    made.push_back(std::make_unique<services::peers_service>(peers));
+    made.push_back(std::make_unique<services::config_service>());
+    made.push_back(std::make_unique<services::directory_service>());
+    made.push_back(std::make_unique<services::claims_service>());
+    made.push_back(
+        std::make_unique<services::upstreams_service>(options.identity.zone));
+    made.push_back(std::make_unique<services::execution_service>());
+    made.push_back(std::make_unique<services::entry_service>());
+    made.push_back(std::make_unique<services::endpoints_service>());
+    made.push_back(std::make_unique<services::leave_service>());
     return made;
 }
 
@@ -43,8 +65,10 @@
 auto peer_port(const kernel::service_kernel& kernel,
                const node_options& options) -> int
 {
-    static_cast<void>(kernel);
-    return options.peer_port;
+    static_cast<void>(options);
+    const auto* peers =
+        kernel.find<services::peers_service>(fleet::peers_service_name);
+    return peers->peer_port();
 }
 
 } // namespace almondtiller
