--- a/tests/harness/caller.cpp
+++ b/tests/harness/caller.cpp
@@ -145,17 +145,20 @@
 
 struct caller::state
 {
+    explicit state(const std::string& address)
+        : client(address.substr(0, address.rfind(':')),
+                 std::atoi(address.c_str() + address.rfind(':') + 1))
+    {
+        this->client.set_keep_alive(true);
+        this->client.set_tcp_nodelay(true);
+    }
+
     httplib::Client client;
 };
 
 caller::caller(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    this->data = std::unique_ptr<state>(new state{httplib::Client(
-        address.substr(0, colon), std::atoi(address.c_str() + colon + 1))});
-    this->data->client.set_keep_alive(true);
-    this->data->client.set_tcp_nodelay(true);
-}
+    : data(std::make_unique<state>(address))
+{}
 
 caller::~caller() = default;
 caller::caller(caller&&) noexcept = default;
