Distribute configuration and the instance list through watchers

Cause: 420 nodes that each poll the platform would spend its call rate, and a plain poll cannot tell a stale peer or a cut-off node. Change: two watchers per zone, chosen by rendezvous, hold the store's watch and poll the instance list; the others ask watchers, are told of newer heads at once and by gossip, and verify shards by digest. Followers poll the store rarely, more often when nothing confirmed is fresh, with jittered backoff. A starting node needs the platform or several peers. A node that hears neither the platform nor a peer for 3 s takes no new requests.

--- a/src/services/config/config_service.cpp
+++ b/src/services/config/config_service.cpp
@@ -1,96 +1,76 @@
 #include "services/config/config_service.h"
 
 #include "core/periodic_task.h"
-#include "fleet/config_assembler.h"
+#include "core/random.h"
+#include "fleet/gossip_channel.h"
 #include "fleet/peer_bus.h"
 #include "kernel/kernel.h"
 #include "platform/platform_service.h"
+#include "services/config/config_follower.h"
 #include "services/node/node_service.h"
 
+#include <nlohmann/json.hpp>
+
 #include <mutex>
 #include <utility>
 
 namespace almondtiller::services {
 
-namespace {
-
-constexpr auto poll_interval = core::milliseconds(500);
-constexpr auto call_timeout = core::milliseconds(1000);
-
-} // namespace
-
 struct config_service::state
 {
-    platform::object_store* store = nullptr;
-    node_service* node = nullptr;
-    core::runtime_clock* clock = nullptr;
-    mutable std::mutex mutex;
-    fleet::config_assembler assembler;
-    std::vector<change_handler> handlers;
-    std::uint64_t version = 0;
-    core::time_point confirmed;
+    std::unique_ptr<config_follower> follower;
+    std::mutex task_mutex;
     std::unique_ptr<core::periodic_task> task;
 
-    auto poll() -> void;
-    auto fetch_shards() -> bool;
-    auto publish() -> void;
+    auto start_task(const core::runtime_clock& clock) -> void;
+    auto wake_task() -> void;
+    auto connect(fleet::peer_bus& peers, fleet::gossip_channel& gossip,
+                 node_service& node) -> void;
 };
 
-auto config_service::state::poll() -> void
+auto config_service::state::start_task(const core::runtime_clock& clock) -> void
 {
-    const auto found = this->store->get(
-        {fleet::config_kind, fleet::config_head_name}, call_timeout);
-    if (!found) {
-        return;
-    }
-    {
-        const auto guard = std::lock_guard(this->mutex);
-        this->confirmed = this->clock->now();
-        const auto head = fleet::decode_head(found.value().value);
-        if (head) {
-            static_cast<void>(this->assembler.offer_head(head.value()));
-        }
-    }
-    if (this->fetch_shards()) {
-        this->publish();
-    }
+    const auto guard = std::lock_guard(this->task_mutex);
+    this->task = std::make_unique<core::periodic_task>(
+        clock, [this] { return this->follower->run(); });
 }
 
-auto config_service::state::fetch_shards() -> bool
+auto config_service::state::wake_task() -> void
 {
-    auto wanted = std::vector<std::string>();
-    {
-        const auto guard = std::lock_guard(this->mutex);
-        wanted = this->assembler.missing();
+    const auto guard = std::lock_guard(this->task_mutex);
+    if (this->task) {
+        this->task->wake();
     }
-    for (const auto& digest : wanted) {
-        const auto found =
-            this->store->get({fleet::config_shard_kind, digest}, call_timeout);
-        if (!found) {
-            return false;
-        }
-        const auto guard = std::lock_guard(this->mutex);
-        static_cast<void>(
-            this->assembler.offer_shard(digest, found.value().value));
-    }
-    return true;
 }
 
-auto config_service::state::publish() -> void
+auto config_service::state::connect(fleet::peer_bus& peers,
+                                    fleet::gossip_channel& gossip,
+                                    node_service& node) -> void
 {
-    auto snapshot = settings::snapshot_ptr();
-    auto listeners = std::vector<change_handler>();
-    {
-        const auto guard = std::lock_guard(this->mutex);
-        snapshot = this->assembler.advance();
-        listeners = this->handlers;
-    }
-    if (snapshot) {
-        this->node->set_has_configuration();
-        for (const auto& listener : listeners) {
-            listener(snapshot);
-        }
-    }
+    auto* worker = this->follower.get();
+    worker->wake = [this] {
+        this->wake_task();
+    };
+    worker->on_ready = [&node] {
+        node.set_has_configuration();
+    };
+    peers.handle(fleet::config_head_topic,
+                 [worker](const auto&, const auto& body) {
+                     return worker->answer_head(body);
+                 });
+    peers.handle(fleet::config_shard_topic,
+                 [worker](const auto&, const auto& body) {
+                     return worker->answer_shard(body);
+                 });
+    peers.handle(fleet::config_push_topic,
+                 [worker](const auto& sender, const auto& body) {
+                     return worker->take_push(sender, body);
+                 });
+    gossip.set_facts_source([worker] { return worker->facts(); });
+    gossip.on_facts([worker](const auto& sender, const auto& told) {
+        worker->hear_facts(sender, told);
+    });
+    node.set_isolation_check([worker] { return worker->is_isolated(); });
 }
 
 config_service::config_service() : data(std::make_unique<state>())
@@ -112,45 +92,58 @@
 auto config_service::initialize(kernel::service_kernel& kernel)
     -> std::error_code
 {
-    this->data->clock = &kernel.clock();
+    auto* store =
+        kernel.find<platform::object_store>(platform::platform_service_name);
+    auto* peers = kernel.find<fleet::peer_bus>(fleet::peers_service_name);
+    this->data->follower = std::make_unique<config_follower>(
+        kernel.clock(), kernel.metrics(), *store, *peers, core::system_seed());
     return {};
 }
 
 auto config_service::services_initialized(kernel::service_kernel& kernel)
     -> std::error_code
 {
-    this->data->store =
-        kernel.find<platform::object_store>(platform::platform_service_name);
-    this->data->node = kernel.find<node_service>(node_service_name);
-    this->data->task = std::make_unique<core::periodic_task>(
-        kernel.clock(), [this]() -> core::duration {
-            this->data->poll();
-            return poll_interval;
-        });
+    auto& data = *this->data;
+    data.connect(*kernel.find<fleet::peer_bus>(fleet::peers_service_name),
+                 *kernel.find<fleet::gossip_channel>(fleet::peers_service_name),
+                 *kernel.find<node_service>(node_service_name));
+    data.start_task(kernel.clock());
     return {};
 }
 
 auto config_service::about_to_shutdown() -> void
 {
-    this->data->task->stop();
+    if (this->data->task) {
+        this->data->task->stop();
+    }
 }
 
 auto config_service::current() const -> settings::snapshot_ptr
 {
-    const auto guard = std::lock_guard(this->data->mutex);
-    return this->data->assembler.in_force();
+    return this->data->follower->current();
 }
 
 auto config_service::on_change(change_handler handler) -> void
 {
-    const auto guard = std::lock_guard(this->data->mutex);
-    this->data->handlers.push_back(std::move(handler));
+    this->data->follower->on_change(std::move(handler));
 }
 
 auto config_service::status() const -> std::string
 {
-    const auto revision = this->current()->revision;
-    return "{\"revision\":" + std::to_string(revision) + "}";
+    const auto snapshot = this->current();
+    auto zones = nlohmann::json::array();
+    for (const auto& [name, zone] : snapshot->zones) {
+        zones.push_back({{"zone", name.str()},
+                         {"region", zone.region.str()},
+                         {"state", settings::to_string(zone.state)}});
+    }
+    return nlohmann::json{
+        {"revision", snapshot->revision},
+        {"config_age_ms", this->data->follower->age_ms()},
+        {"config_watcher", this->data->follower->is_watcher()},
+        {"isolated", this->data->follower->is_isolated()},
+        {"zones", zones}}
+        .dump();
 }
 
 } // namespace almondtiller::services
--- a/src/services/node/node_service.cpp
+++ b/src/services/node/node_service.cpp
@@ -59,7 +59,7 @@
     if (!this->has_configuration) {
         return admission::starting;
     }
-    return this->isolated ? admission::isolated : admission::open;
+    return this->isolation_check() ? admission::isolated : admission::open;
 }
 
 auto node_service::is_ready() const -> bool
@@ -72,9 +72,9 @@
     this->has_configuration = true;
 }
 
-auto node_service::set_isolated(bool is_isolated) -> void
+auto node_service::set_isolation_check(std::function<bool()> check) -> void
 {
-    this->isolated = is_isolated;
+    this->isolation_check = std::move(check);
 }
 
 auto node_service::set_refusing() -> void
--- a/src/services/node/node_service.h
+++ b/src/services/node/node_service.h
@@ -4,6 +4,7 @@
 #include "kernel/service.h"
 
 #include <atomic>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -52,7 +53,9 @@
     [[nodiscard]] auto is_ready() const -> bool;
 
     auto set_has_configuration() -> void;
-    auto set_isolated(bool is_isolated) -> void;
+    /// \param check Tells whether this node is cut off; asked for each
+    ///        request, so that a process that was paused knows at once.
+    auto set_isolation_check(std::function<bool()> check) -> void;
     /// Refuses new requests from now on; the last step of leaving.
     auto set_refusing() -> void;
 
@@ -61,7 +64,9 @@
     std::string advertise;
     std::atomic<bool> leaving = false;
     std::atomic<bool> has_configuration = false;
-    std::atomic<bool> isolated = false;
+    std::function<bool()> isolation_check = [] {
+        return false;
+    };
     std::atomic<bool> refusing = false;
 };
 
