Grant the slots of cold upstreams from one steward each

Cause: what a cold upstream bears is a sum over all nodes, which none of them sees. Static shares come to nothing where the capacity is below the number of nodes.

Change: cold_steward grants leased slots of the upstreams that rendezvous hashing gives it; cold_client asks for this node. A holder counts with what it has in flight and with every grant that it may still use, and for the longest dispatch after that. A new, restarted or paused steward waits out view skew, grant and longest dispatch; one that sees only a minority of the nodes it knew grants nothing. More askers than slots take turns.

Conclusion: the sum stays within the capacity while views differ for no longer than the skew.

--- /dev/null
+++ b/src/libs/routing/cold_client.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "routing/cold_slots.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace almondtiller::routing {
+
+/// Asks the stewards of cold upstreams for slots on behalf of this node. A
+/// grant expires one grant duration after its ask was sent, and is taken only
+/// from the node that this node computes as steward.
+class cold_client
+{
+public:
+    /// A cold upstream and its pool.
+    struct want
+    {
+        core::pool_name pool;
+        cold_upstream upstream;
+
+        auto operator==(const want&) const -> bool = default;
+    };
+    /// Send this ask to that node.
+    struct request
+    {
+        core::node_id target;
+        cold_ask ask;
+
+        auto operator==(const request&) const -> bool = default;
+    };
+    /// Pass this grant to the pool's scheduler.
+    struct grant_change
+    {
+        core::pool_name pool;
+        cold_grant grant;
+
+        auto operator==(const grant_change&) const -> bool = default;
+    };
+    /// Tell the pool's scheduler that there are no slots for a while.
+    struct denial
+    {
+        core::pool_name pool;
+        core::upstream_id id;
+        core::duration retry_after{};
+
+        auto operator==(const denial&) const -> bool = default;
+    };
+    using outcome = std::variant<std::monostate, grant_change, denial>;
+
+    /// What poll() wants done; the grants before the requests are sent.
+    struct plan
+    {
+        std::vector<grant_change> grants;
+        std::vector<denial> denials;
+        std::vector<request> requests;
+    };
+
+    /// \param start Grows with each start of this node.
+    cold_client(core::node_id self, std::uint64_t start, cold_timing timing);
+
+    auto set_timing(const cold_timing& timing) -> void;
+    auto set_view(const cold_view& view) -> void;
+
+    /// \param wants Every cold upstream, read after the last grants were
+    ///              passed on.
+    [[nodiscard]] auto poll(const std::vector<want>& wants,
+                            core::time_point now) -> plan;
+
+    [[nodiscard]] auto on_offer(const core::node_id& sender,
+                                const cold_offer& offer, core::time_point now)
+        -> outcome;
+
+    /// The ask of that sequence got no answer.
+    [[nodiscard]] auto on_failure(const core::upstream_id& id,
+                                  std::uint64_t sequence, core::time_point now)
+        -> outcome;
+
+private:
+    struct pending_ask
+    {
+        std::uint64_t sequence;
+        core::node_id target;
+        core::time_point sent;
+    };
+    struct state
+    {
+        core::pool_name pool;
+        std::uint64_t floor = 0;
+        std::uint32_t slots = 0;
+        core::time_point expires = core::time_point::min();
+        bool releasing = false;
+        /// In flight as last stated to the steward.
+        std::uint32_t stated = 0;
+        std::optional<pending_ask> pending;
+        core::time_point next_ask = core::time_point::min();
+        std::uint64_t last_poll = 0;
+    };
+
+    auto poll_one(state& of, const want& wanted, core::time_point now,
+                  plan& planned) -> void;
+    auto poll_idle(state& of, const want& wanted, core::time_point now,
+                   plan& planned) -> void;
+    auto send(state& of, const want& wanted, core::time_point now,
+              plan& planned) -> void;
+    auto drop_warm(core::time_point now, plan& planned) -> void;
+
+    core::node_id self;
+    std::uint64_t start;
+    cold_timing timing;
+    std::vector<core::node_id> members;
+    std::unordered_map<core::upstream_id, state> upstreams;
+    std::uint64_t next_sequence = 1;
+    std::uint64_t polls = 0;
+};
+
+} // namespace almondtiller::routing
--- /dev/null
+++ b/tests/unit/routing/cold_fleet.h
@@ -0,0 +1,281 @@
+#pragma once
+
+#include "routing/cold_client.h"
+#include "routing/cold_steward.h"
+#include "routing_builders.h"
+
+#include "core/random.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace almondtiller::routing {
+
+/// Stewards and clients of a few nodes around one cold upstream, in steps of
+/// 20 ms, with lossy, slow and doubling messages between them. Faults pause
+/// and restart nodes and change memberships, which the nodes learn at
+/// different times within the agreed skew.
+class cold_fleet
+{
+public:
+    struct node
+    {
+        core::node_id id;
+        std::uint64_t start = 1;
+        std::unique_ptr<cold_steward> steward;
+        std::unique_ptr<cold_client> client;
+        cold_grant grant;
+        /// Ends of the attempts in flight.
+        std::vector<core::time_point> attempts;
+        core::time_point paused_until = start_time;
+        core::time_point view_due = start_time;
+        bool learns = false;
+        bool was_paused = false;
+        std::uint32_t completed = 0;
+        std::vector<std::function<void()>> inbox;
+    };
+
+    cold_fleet(int size, int capacity, std::uint64_t seed)
+        : capacity(std::uint32_t(capacity)), random(seed)
+    {
+        for (auto index = 0; index < size; ++index) {
+            this->nodes.emplace_back();
+            this->nodes.back().id = core::node_id(std::to_string(index));
+            this->live.push_back(this->nodes.back().id);
+        }
+        for (auto& started : this->nodes) {
+            this->restart(started);
+        }
+    }
+
+    auto step() -> void
+    {
+        this->now += milliseconds(20);
+        if (this->faults) {
+            this->inject();
+        }
+        this->deliver();
+        for (auto& running : this->nodes) {
+            this->finish(running);
+            if (this->now < running.paused_until) {
+                running.was_paused = true;
+            } else {
+                this->resume(running);
+                this->run(running);
+            }
+        }
+        this->most_in_flight =
+            std::max(this->most_in_flight, this->in_flight());
+    }
+
+    [[nodiscard]] auto in_flight() const -> std::uint32_t
+    {
+        auto sum = std::size_t(0);
+        for (const auto& running : this->nodes) {
+            sum += running.attempts.size();
+        }
+        return std::uint32_t(sum + this->orphans.size());
+    }
+
+    std::vector<node> nodes;
+    bool faults = false;
+    std::uint32_t most_in_flight = 0;
+    core::time_point now = start_time;
+
+private:
+    auto chance(std::uint64_t one_in) -> bool
+    {
+        return this->random.below(one_in) == 0;
+    }
+
+    auto restart(node& started) -> void
+    {
+        ++started.start;
+        started.steward =
+            std::make_unique<cold_steward>(started.id, this->timing, this->now);
+        started.client = std::make_unique<cold_client>(
+            started.id, started.start, this->timing);
+        started.grant = cold_grant();
+        started.inbox.clear();
+        // The upstream goes on with what the former process sent.
+        for (const auto end : started.attempts) {
+            this->orphans.insert(end);
+        }
+        started.attempts.clear();
+        this->show_view(started);
+    }
+
+    auto show_view(node& learning) -> void
+    {
+        const auto view = cold_view{this->live, this->left};
+        learning.steward->set_view(view, this->now);
+        learning.client->set_view(view);
+        learning.learns = false;
+    }
+
+    /// A node that was paused learns of changes only some time later.
+    auto resume(node& resumed) -> void
+    {
+        if (resumed.was_paused) {
+            resumed.was_paused = false;
+            resumed.view_due = std::max(resumed.view_due, this->some_skew());
+        }
+    }
+
+    /// Mostly the shortest and the longest skew, which are the worst.
+    auto some_skew() -> core::time_point
+    {
+        const auto longest = std::uint64_t(1900);
+        const auto skew = this->chance(3)   ? this->random.below(longest)
+                          : this->chance(2) ? longest
+                                            : 0;
+        return this->now + milliseconds(skew);
+    }
+
+    auto inject() -> void
+    {
+        if (this->chance(200)) {
+            auto& paused = this->nodes[this->random.below(this->nodes.size())];
+            const auto length = milliseconds(this->random.below(8000));
+            paused.paused_until = this->now + length;
+        }
+        if (this->chance(400)) {
+            this->restart(this->nodes[this->random.below(this->nodes.size())]);
+        }
+        const auto settled = std::ranges::none_of(this->nodes, &node::learns) &&
+                             this->now >= this->next_change;
+        if (settled && this->chance(100)) {
+            this->change_members();
+        }
+    }
+
+    auto change_members() -> void
+    {
+        const auto& changed =
+            this->nodes[this->random.below(this->nodes.size())].id;
+        const auto place = std::ranges::find(this->live, changed);
+        if (place == this->live.end()) {
+            this->live.push_back(changed);
+            std::erase(this->left, changed);
+        } else if (this->live.size() > 1) {
+            this->live.erase(place);
+            if (this->chance(2)) {
+                this->left.push_back(changed);
+            }
+        }
+        std::ranges::sort(this->live);
+        for (auto& learning : this->nodes) {
+            learning.learns = true;
+            learning.view_due = this->some_skew();
+        }
+        this->next_change = this->now + this->timing.view_skew;
+    }
+
+    auto deliver() -> void
+    {
+        while (!this->network.empty() &&
+               this->network.begin()->first <= this->now) {
+            const auto [receiver, message] = this->network.begin()->second;
+            this->network.erase(this->network.begin());
+            this->nodes[receiver].inbox.push_back(message);
+        }
+    }
+
+    auto post(std::size_t receiver, const std::function<void()>& message)
+        -> void
+    {
+        const auto copies = !this->faults      ? 1
+                            : this->chance(10) ? 0
+                            : this->chance(10) ? 2
+                                               : 1;
+        for (auto copy = 0; copy < copies; ++copy) {
+            const auto is_slow = this->faults && this->chance(20);
+            const auto delay = this->random.below(is_slow ? 5000 : 30);
+            this->network.emplace(this->now + milliseconds(delay),
+                                  std::pair(receiver, message));
+        }
+    }
+
+    auto finish(node& running) -> void
+    {
+        std::erase_if(this->orphans,
+                      [this](const auto end) { return end <= this->now; });
+        running.completed += std::uint32_t(
+            std::erase_if(running.attempts,
+                          [this](const auto end) { return end <= this->now; }));
+    }
+
+    auto run(node& running) -> void
+    {
+        if (running.learns && this->now >= running.view_due) {
+            this->show_view(running);
+        }
+        running.steward->tick(this->now);
+        auto inbox = std::move(running.inbox);
+        running.inbox.clear();
+        for (const auto& message : inbox) {
+            message();
+        }
+        const auto wanted =
+            this->chance(4) ? std::uint32_t(this->random.below(5)) : 4U;
+        const auto load = std::uint32_t(running.attempts.size());
+        const auto planned = running.client->poll(
+            {{core::pool_name("p"), {this->upstream, "", wanted, load}}},
+            this->now);
+        for (const auto& change : planned.grants) {
+            running.grant = change.grant;
+        }
+        for (const auto& request : planned.requests) {
+            this->send(running, request);
+        }
+        while (this->now < running.grant.expires &&
+               running.attempts.size() < running.grant.slots) {
+            const auto is_long = this->faults && this->chance(3);
+            const auto length = is_long ? 3000 : 1 + this->random.below(100);
+            running.attempts.push_back(this->now + milliseconds(length));
+        }
+    }
+
+    auto send(const node& sender, const cold_client::request& request) -> void
+    {
+        const auto from = std::size_t(&sender - this->nodes.data());
+        const auto to = std::size_t(std::stoul(request.target.str()));
+        const auto ask = request.ask;
+        this->post(to, [this, from, to, ask] {
+            const auto& holder = this->nodes[from].id;
+            const auto offer = this->nodes[to].steward->ask(
+                holder, ask, this->capacity, this->now);
+            const auto start = ask.holder_start;
+            this->post(from, [this, from, to, offer, start] {
+                auto& receiver = this->nodes[from];
+                if (receiver.start != start) {
+                    return;
+                }
+                const auto outcome = receiver.client->on_offer(
+                    this->nodes[to].id, offer, this->now);
+                const auto* taken =
+                    std::get_if<cold_client::grant_change>(&outcome);
+                if (taken != nullptr) {
+                    receiver.grant = taken->grant;
+                }
+            });
+        });
+    }
+
+    const core::upstream_id upstream = core::upstream_id("u");
+    cold_timing timing;
+    std::uint32_t capacity;
+    core::random_source random;
+    std::vector<core::node_id> live;
+    std::vector<core::node_id> left;
+    core::time_point next_change = start_time;
+    std::multiset<core::time_point> orphans;
+    std::multimap<core::time_point,
+                  std::pair<std::size_t, std::function<void()>>>
+        network;
+};
+
+} // namespace almondtiller::routing
--- /dev/null
+++ b/tests/unit/routing/cold_slots_test.cpp
@@ -0,0 +1,123 @@
+#include "cold_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace almondtiller::routing {
+
+namespace {
+
+const auto upstream = core::upstream_id("u");
+
+auto ask_for(std::uint64_t sequence, std::uint32_t wanted,
+             std::uint64_t floor = 0) -> cold_ask
+{
+    return {upstream, core::pool_name("p"), 1, sequence, floor, wanted, 0};
+}
+
+} // namespace
+
+TEST(cold_steward, waits_before_it_grants)
+{
+    const auto self = core::node_id("n");
+    auto steward = cold_steward(self, {}, start_time);
+    EXPECT_EQ(steward.ask(self, ask_for(1, 1), 1, start_time).verdict,
+              cold_verdict::waiting);
+    const auto ready = start_time + seconds(6);
+    for (auto now = start_time; now < ready; now += milliseconds(100)) {
+        steward.tick(now);
+    }
+    EXPECT_EQ(steward.ask(self, ask_for(2, 5), 3, ready).slots, 3U);
+    // A steward that was paused may have been replaced in the meantime.
+    EXPECT_EQ(steward.ask(self, ask_for(3, 1), 1, ready + seconds(2)).verdict,
+              cold_verdict::waiting);
+}
+
+TEST(cold_steward, grants_nothing_from_a_minority)
+{
+    const auto self = core::node_id("n");
+    auto steward = cold_steward(self, {}, start_time);
+    auto now = start_time;
+    const auto others =
+        std::vector{core::node_id("o"), self, core::node_id("q")};
+    steward.set_view({others, {}}, now);
+    steward.set_view({{self}, {}}, now);
+    for (; now < start_time + seconds(10); now += milliseconds(100)) {
+        steward.tick(now);
+    }
+    EXPECT_EQ(steward.ask(self, ask_for(1, 1), 1, now).verdict,
+              cold_verdict::no_quorum);
+    steward.set_view({{self}, {core::node_id("o"), core::node_id("q")}}, now);
+    EXPECT_EQ(steward.ask(self, ask_for(2, 1), 1, now).verdict,
+              cold_verdict::decided);
+}
+
+TEST(cold_steward, passes_a_single_slot_from_holder_to_holder)
+{
+    auto fleet = cold_fleet(6, 1, 5);
+    for (auto step = 0; step < 3000; ++step) {
+        fleet.step();
+    }
+    for (const auto& node : fleet.nodes) {
+        EXPECT_GT(node.completed, 0U);
+    }
+    EXPECT_EQ(fleet.most_in_flight, 1U);
+}
+
+TEST(cold_client, takes_grants_only_from_its_steward_and_in_time)
+{
+    auto client = cold_client(core::node_id("n"), 1, {});
+    client.set_view({{core::node_id("n"), core::node_id("s")}, {}});
+    const auto want =
+        cold_client::want{core::pool_name("p"), {upstream, "", 1, 0}};
+    const auto planned = client.poll({want}, start_time);
+    ASSERT_EQ(planned.requests.size(), 1U);
+    const auto& sent = planned.requests[0];
+    auto offer = cold_offer();
+    offer.id = upstream;
+    offer.sequence = sent.ask.sequence;
+    offer.slots = 1;
+    offer.valid_for = seconds(1);
+    const auto stranger = core::node_id("stranger");
+    EXPECT_TRUE(std::holds_alternative<std::monostate>(
+        client.on_offer(stranger, offer, start_time)));
+    auto late = client;
+    EXPECT_TRUE(std::holds_alternative<cold_client::denial>(
+        late.on_offer(sent.target, offer, start_time + seconds(1))));
+    const auto taken = std::get<cold_client::grant_change>(
+        client.on_offer(sent.target, offer, start_time + milliseconds(900)));
+    EXPECT_EQ(taken.grant.expires, start_time + seconds(1));
+}
+
+// Whatever is lost, delayed, doubled, paused or restarted, and while views
+// differ for no longer than the agreed skew, a cold upstream never has more in
+// flight than it bears, summed over all nodes.
+RC_GTEST_PROP(cold_slots, never_exceed_the_capacity, ())
+{
+    const auto capacity = *rc::gen::inRange(1, 5);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    auto fleet = cold_fleet(*rc::gen::inRange(1, 7), capacity, seed);
+    fleet.faults = true;
+    for (auto step = 0; step < 1500; ++step) {
+        fleet.step();
+        RC_ASSERT(fleet.in_flight() <= std::uint32_t(capacity));
+    }
+}
+
+TEST(cold_slots, are_used_in_spite_of_faults)
+{
+    auto fleet = cold_fleet(6, 4, 11);
+    fleet.faults = true;
+    for (auto step = 0; step < 20000; ++step) {
+        fleet.step();
+    }
+    auto completed = 0U;
+    for (const auto& node : fleet.nodes) {
+        completed += node.completed;
+    }
+    EXPECT_GT(completed, 100U);
+    EXPECT_LE(fleet.most_in_flight, 4U);
+}
+
+} // namespace almondtiller::routing
