Carry cold slots between the nodes

Cause: stewards and clients of cold upstreams are pure machines; without a carrier an upstream of which nothing is known never gets its first request.

--- a/src/apps/almondtiller/compose.cpp
+++ b/src/apps/almondtiller/compose.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/platform_service.h"
 #include "services/claims/claims_service.h"
+#include "services/cold_starts/cold_starts_service.h"
 #include "services/config/config_service.h"
 #include "services/directory/directory_service.h"
 #include "services/endpoints/endpoints_service.h"
@@ -42,6 +43,7 @@
     made.push_back(std::make_unique<services::claims_service>());
     made.push_back(
         std::make_unique<services::upstreams_service>(options.identity.zone));
+    made.push_back(std::make_unique<services::cold_starts_service>());
     made.push_back(std::make_unique<services::execution_service>());
     made.push_back(std::make_unique<services::entry_service>());
     made.push_back(std::make_unique<services::endpoints_service>());
--- /dev/null
+++ b/src/services/cold_starts/cold_messages.cpp
@@ -0,0 +1,91 @@
+#include "services/cold_starts/cold_messages.h"
+
+#include "fleet/fleet_errc.h"
+
+#include <nlohmann/json.hpp>
+
+namespace almondtiller::services {
+
+namespace {
+
+using nlohmann::json;
+
+auto to_cbor(const json& value) -> std::string
+{
+    const auto bytes = json::to_cbor(value);
+    return {bytes.begin(), bytes.end()};
+}
+
+auto from_cbor(const std::string& body) -> json
+{
+    return json::from_cbor(body, true, false);
+}
+
+auto milliseconds_of(core::duration length) -> std::int64_t
+{
+    return std::chrono::duration_cast<core::milliseconds>(length).count();
+}
+
+} // namespace
+
+auto encode(const routing::cold_ask& ask) -> std::string
+{
+    return to_cbor({{"id", ask.id.str()},
+                    {"pool", ask.pool.str()},
+                    {"start", ask.holder_start},
+                    {"sequence", ask.sequence},
+                    {"floor", ask.floor},
+                    {"wanted", ask.wanted},
+                    {"in_flight", ask.in_flight}});
+}
+
+auto decode_cold_ask(const std::string& body) -> core::result<routing::cold_ask>
+{
+    try {
+        const auto value = from_cbor(body);
+        return routing::cold_ask{
+            core::upstream_id(value.at("id").get<std::string>()),
+            core::pool_name(value.at("pool").get<std::string>()),
+            value.at("start").get<std::uint64_t>(),
+            value.at("sequence").get<std::uint64_t>(),
+            value.at("floor").get<std::uint64_t>(),
+            value.at("wanted").get<std::uint32_t>(),
+            value.at("in_flight").get<std::uint32_t>()};
+    } catch (const json::exception&) {
+        return make_error_code(fleet::fleet_errc::malformed_message);
+    }
+}
+
+auto encode(const routing::cold_offer& offer) -> std::string
+{
+    return to_cbor({{"id", offer.id.str()},
+                    {"sequence", offer.sequence},
+                    {"verdict", int(offer.verdict)},
+                    {"slots", offer.slots},
+                    {"valid_ms", milliseconds_of(offer.valid_for)},
+                    {"retry_after_ms", milliseconds_of(offer.retry_after)}});
+}
+
+auto decode_cold_offer(const std::string& body)
+    -> core::result<routing::cold_offer>
+{
+    try {
+        const auto value = from_cbor(body);
+        const auto verdict = value.at("verdict").get<int>();
+        if (verdict < int(routing::cold_verdict::decided) ||
+            verdict > int(routing::cold_verdict::no_quorum)) {
+            return make_error_code(fleet::fleet_errc::malformed_message);
+        }
+        return routing::cold_offer{
+            core::upstream_id(value.at("id").get<std::string>()),
+            value.at("sequence").get<std::uint64_t>(),
+            routing::cold_verdict(verdict),
+            value.at("slots").get<std::uint32_t>(),
+            core::milliseconds(value.at("valid_ms").get<std::int64_t>()),
+            core::milliseconds(value.at("retry_after_ms").get<std::int64_t>())};
+    } catch (const json::exception&) {
+        return make_error_code(fleet::fleet_errc::malformed_message);
+    }
+}
+
+} // namespace almondtiller::services
--- /dev/null
+++ b/src/services/cold_starts/cold_messages.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/result.h"
+#include "routing/cold_slots.h"
+
+#include <string>
+
+namespace almondtiller::services {
+
+/// Codecs of the peer topic "cold-slots", in CBOR. Durations are counted in
+/// milliseconds. Malformed input gives fleet_errc::malformed_message.
+[[nodiscard]] auto encode(const routing::cold_ask& ask) -> std::string;
+[[nodiscard]] auto decode_cold_ask(const std::string& body)
+    -> core::result<routing::cold_ask>;
+[[nodiscard]] auto encode(const routing::cold_offer& offer) -> std::string;
+[[nodiscard]] auto decode_cold_offer(const std::string& body)
+    -> core::result<routing::cold_offer>;
+
+} // namespace almondtiller::services
