Wait in tillerctl's tests until the scratch server runs

Cause: tillerctl_test hung in commands.wrong_calls_exit_with_usage: a test that makes no call ends before httplib's server runs, its stop() is then ignored and the join waits for ever (seen once in a landing run, by the stack of the main thread).

Change: start() returns when the server runs.

Conclusion: no check changes.

--- a/tests/unit/tillerctl/platform_server.h
+++ b/tests/unit/tillerctl/platform_server.h
@@ -19,6 +19,10 @@
         this->http.set_tcp_nodelay(true);
         this->port = this->http.bind_to_any_port("127.0.0.1");
         this->thread = std::thread([this] { this->http.listen_after_bind(); });
+        // httplib ignores stop() before the server runs.
+        while (!this->http.is_running()) {
+            std::this_thread::yield();
+        }
     }
     scratch_server() = default;
     ~scratch_server()
