--- a/src/libs/routing/pool_scheduler.cpp
+++ b/src/libs/routing/pool_scheduler.cpp
@@ -36,6 +36,7 @@
                                core::time_point now) -> actions
 {
     this->data->now = now;
+    this->data->expect_room();
     this->data->settings = settings;
     this->data->queue.set_capacity(settings.queue_limit);
     this->data->retries.set_ratio(settings.retry_ratio);
@@ -48,6 +49,7 @@
                                  core::time_point now) -> actions
 {
     this->data->now = now;
+    this->data->expect_room();
     this->data->upstreams.set_members(members);
     return this->data->drain();
 }
@@ -88,6 +90,7 @@
     -> actions
 {
     this->data->now = now;
+    this->data->expect_room();
     auto node = this->data->attempts.extract(result.id);
     if (node.empty()) {
         return this->data->drain();
@@ -103,6 +106,7 @@
                                  core::time_point now) -> actions
 {
     this->data->now = now;
+    this->data->expect_room();
     this->data->upstreams.on_report(report, now);
     return this->data->drain();
 }
@@ -116,6 +120,7 @@
                                       core::time_point now) -> actions
 {
     this->data->now = now;
+    this->data->expect_room();
     this->data->upstreams.on_grant(grant);
     return this->data->drain();
 }
--- a/src/libs/routing/pool_state.cpp
+++ b/src/libs/routing/pool_state.cpp
@@ -12,6 +12,8 @@
 constexpr auto longest_retry_after = core::duration(std::chrono::seconds(5));
 constexpr auto no_upstream_retry_after =
     core::duration(std::chrono::seconds(1));
+/// Room that appears by time alone, for probes, is found so late.
+constexpr auto blocked_lifetime = core::duration(std::chrono::milliseconds(5));
 constexpr auto quantiles_lifetime =
     core::duration(std::chrono::milliseconds(10));
 
@@ -200,7 +202,22 @@
     if (chosen.has_value()) {
         return placement::placed;
     }
-    return item.excluded.empty() ? placement::blocked : placement::skipped;
+    if (!item.excluded.empty()) {
+        return placement::skipped;
+    }
+    this->blocked_at = this->now;
+    return placement::blocked;
+}
+
+auto pool_state::expect_room() -> void
+{
+    this->blocked_at.reset();
+}
+
+auto pool_state::is_blocked() const -> bool
+{
+    return this->blocked_at.has_value() &&
+           this->now < *this->blocked_at + blocked_lifetime;
 }
 
 auto pool_state::drain() -> actions
@@ -208,7 +225,7 @@
     auto taken = actions();
     this->refresh_quantiles();
     this->refuse_expired(taken);
-    while (this->queue.size() > 0) {
+    while (this->queue.size() > 0 && !this->is_blocked()) {
         auto chosen = std::optional<dispatch>();
         const auto offer = [this, &chosen](const work& item) {
             return this->place(item, chosen);
--- a/src/libs/routing/pool_state.h
+++ b/src/libs/routing/pool_state.h
@@ -59,6 +59,11 @@
 
     /// Dispatches and refuses whatever can be decided now.
     auto drain() -> actions;
+
+    /// Says that upstreams may have room again; drain() looks for some by
+    /// itself only every few milliseconds.
+    auto expect_room() -> void;
+    [[nodiscard]] auto is_blocked() const -> bool;
     auto record(const attempt_result& result, const running& ended) -> void;
 
     settings::pool_settings settings;
@@ -70,6 +75,8 @@
     std::unordered_map<core::attempt_id, running> attempts;
     std::unordered_map<core::workspace_name, std::uint32_t> workspace_running;
     core::time_point now;
+    /// When all upstreams were found to have no room.
+    std::optional<core::time_point> blocked_at;
     core::time_point last_submit = core::time_point::min();
     core::time_point quantiles_at = core::time_point::min();
     core::duration median{};
