--- a/src/apps/almondtiller/compose.cpp
+++ b/src/apps/almondtiller/compose.cpp
@@ -11,6 +11,7 @@
 #include "services/http/http_service.h"
 #include "services/leave/leave_service.h"
 #include "services/node/node_service.h"
+#include "services/orders/orders_service.h"
 #include "services/peers/peers_service.h"
 #include "services/upstreams/upstreams_service.h"
 
@@ -48,6 +49,7 @@
     made.push_back(std::make_unique<services::entry_service>());
     made.push_back(std::make_unique<services::endpoints_service>());
     made.push_back(std::make_unique<services::leave_service>());
+    made.push_back(std::make_unique<services::orders_service>());
     return made;
 }
 
