Give each bucket of claims one owner and pace its writes

Change: claims and ends go to the bucket's owner by rendezvous over the live members; a node writes itself only when the message to the owner fails, under another claim id. Writes of a bucket start 100 ms apart at least. Ends are recorded after the answer and repeated until confirmed. The holder travels with the claim.

The load on the store is bounded at 640 writes a second; the price is the wait on busy buckets. Claims on idle buckets do not wait.

--- a/bench/claims/main.cpp
+++ b/bench/claims/main.cpp
@@ -5,7 +5,7 @@
 #include "harness/http_call.h"
 #include "harness/process.h"
 #include "kernel/kernel.h"
-#include "lone_peers.h"
+#include "local_peers.h"
 #include "platform/platform_service.h"
 #include "services/claims/claims_service.h"
 #include "services/http/http_service.h"
@@ -51,7 +51,8 @@
     core::duration p99{};
 };
 
-auto make_node(std::uint32_t index, const std::string& platform)
+auto make_node(std::uint32_t index, const std::string& platform,
+               claims_bench::local_network& network)
     -> std::unique_ptr<kernel::service_kernel>
 {
     auto self = fleet::member();
@@ -64,8 +65,7 @@
     kernel->add(std::make_unique<services::http_service>(http));
     kernel->add(std::make_unique<services::node_service>(self, "127.0.0.1"));
     kernel->add(std::make_unique<platform::platform_service>(platform));
-    kernel->add(std::make_unique<claims_bench::lone_peers>(
-        std::vector<fleet::member>{self}));
+    kernel->add(std::make_unique<claims_bench::local_peers>(network, self));
     kernel->add(std::make_unique<services::claims_service>());
     return kernel->start() ? nullptr : std::move(kernel);
 }
@@ -73,8 +73,8 @@
 auto claim_in_bucket(kernel::service_kernel& kernel, std::uint32_t number)
     -> bool
 {
-    auto* claims = kernel.find<services::claim_registry>(
-        services::claims_service_name);
+    auto* claims =
+        kernel.find<services::claim_registry>(services::claims_service_name);
     auto request = services::claim_request();
     request.workspace = core::workspace_name("w");
     request.idempotency_key = "key-" + std::to_string(number);
@@ -165,9 +165,10 @@
     const auto platform_process = harness::process(
         "fake_platform", {"--listen", "127.0.0.1:0"}, output.string());
     const auto platform = platform_process.wait_for_line("listening ");
+    auto network = claims_bench::local_network();
     auto kernels = std::vector<std::unique_ptr<kernel::service_kernel>>();
     for (auto index = 0U; index < options.nodes; ++index) {
-        kernels.push_back(make_node(index, platform));
+        kernels.push_back(make_node(index, platform, network));
     }
     auto store = platform::http_object_store(platform);
     std::cout << "way                   granted  store calls  calls/req"
--- a/src/libs/claims/claim_bucket.cpp
+++ b/src/libs/claims/claim_bucket.cpp
@@ -26,6 +26,17 @@
            record.claim.size() + record.fingerprint.size() + record.node.size();
 }
 
+auto new_record(const claim_wanted& wanted, const moment& at) -> claim_record
+{
+    auto record = claim_record();
+    record.claim = wanted.claim;
+    record.fingerprint = wanted.fingerprint;
+    record.node = wanted.node;
+    record.incarnation = wanted.incarnation;
+    record.claimed_at_ms = at.wall_ms;
+    return record;
+}
+
 } // namespace
 
 claim_bucket::claim_bucket(bucket_environment environment)
@@ -143,6 +154,9 @@
 auto claim_bucket::next_timer() const -> std::optional<core::time_point>
 {
     auto next = this->retry_at;
+    if (this->is_paced && (!next || this->next_write < *next)) {
+        next = this->next_write;
+    }
     for (const auto& [claim, pending] : this->claims) {
         if (!next || pending.wanted.deadline < *next) {
             next = pending.wanted.deadline;
@@ -231,15 +245,10 @@
     if (is_ended_here) {
         return std::nullopt; // The release is not in the store yet.
     }
-    const auto& self = this->environment;
-    if (record.node == self.node && record.incarnation == self.incarnation) {
-        decided.verdict = claim_verdict::in_progress;
-        return decided;
-    }
     if (!pending.is_fresh) {
         return std::nullopt;
     }
-    decided.verdict = self.is_holder_alive(record, at)
+    decided.verdict = this->environment.is_holder_alive(record, at)
                           ? claim_verdict::in_progress
                           : claim_verdict::outcome_unknown;
     return decided;
@@ -248,6 +257,10 @@
 auto claim_bucket::start_write(const moment& at, bucket_actions& actions)
     -> void
 {
+    this->is_paced = at.now < this->next_write;
+    if (this->is_paced) {
+        return;
+    }
     const auto oldest =
         at.wall_ms -
         std::chrono::milliseconds(this->environment.retention).count();
@@ -262,6 +275,7 @@
     }
     actions.emplace_back(write_bucket{this->version, encode(write.contents)});
     this->writing = std::move(write);
+    this->next_write = at.now + this->environment.write_interval;
 }
 
 auto claim_bucket::apply_ends(write_under_way& write) const -> void
@@ -301,7 +315,7 @@
             ++entry;
             continue;
         }
-        auto record = this->new_record(wanted, at);
+        auto record = new_record(wanted, at);
         const auto grown = size + reserved_bytes(wanted.key, record);
         if (grown > this->environment.max_value_bytes) {
             this->abandon(wanted.claim, wanted.key);
@@ -317,18 +331,6 @@
     }
 }
 
-auto claim_bucket::new_record(const claim_wanted& wanted,
-                              const moment& at) const -> claim_record
-{
-    auto record = claim_record();
-    record.claim = wanted.claim;
-    record.fingerprint = wanted.fingerprint;
-    record.node = this->environment.node;
-    record.incarnation = this->environment.incarnation;
-    record.claimed_at_ms = at.wall_ms;
-    return record;
-}
-
 auto claim_bucket::is_held(const std::string& claim,
                            const std::string& key) const -> bool
 {
--- a/src/libs/claims/claim_bucket.h
+++ b/src/libs/claims/claim_bucket.h
@@ -33,6 +33,9 @@
     std::string claim; ///< Unique over all nodes and time.
     std::string key;   ///< From record_key().
     std::string fingerprint;
+    /// The node that will execute the request.
+    std::string node;
+    std::uint64_t incarnation = 0;
     core::time_point deadline;
 
     auto operator==(const claim_wanted&) const -> bool = default;
@@ -88,8 +91,6 @@
 /// What a bucket needs to know of its surroundings.
 struct bucket_environment
 {
-    std::string node;
-    std::uint64_t incarnation = 0;
     /// Whether the node that holds a claim may still be executing it.
     std::function<bool(const claim_record& record, const moment& at)>
         is_holder_alive;
@@ -98,6 +99,9 @@
     /// Pause before the store is asked again after a failure.
     core::milliseconds retry_pause{};
     std::size_t max_value_bytes = 0;
+    /// Between the starts of two writes, at least; what arrives meanwhile
+    /// shares the next one. Bounds the load on the store.
+    core::milliseconds write_interval{};
 };
 
 /// Decides claims of one bucket. One store call is under way at a time; all
@@ -167,8 +171,6 @@
     auto abandon(const std::string& claim, const std::string& key) -> void;
     [[nodiscard]] auto is_held(const std::string& claim,
                                const std::string& key) const -> bool;
-    [[nodiscard]] auto new_record(const claim_wanted& wanted,
-                                  const moment& at) const -> claim_record;
     auto forget_contents() -> void;
     auto apply_ends(write_under_way& write) const -> void;
     auto apply_claims(const moment& at, write_under_way& write,
@@ -184,6 +186,8 @@
     /// A write may still take effect; cleared by the next successful one.
     bool needs_fence = false;
     std::optional<core::time_point> retry_at;
+    core::time_point next_write;
+    bool is_paced = false; ///< A write waits for next_write.
 
     std::map<std::string, pending_claim> claims;
     std::map<std::string, pending_end> ends;
--- a/src/services/claims/bucket_shell.cpp
+++ b/src/services/claims/bucket_shell.cpp
@@ -10,9 +10,6 @@
 
 constexpr auto store_timeout = core::milliseconds(2000);
 
-/// How long after its deadline a claim's decision may take to arrive.
-constexpr auto decision_grace = core::milliseconds(60000);
-
 auto to_versioned(const core::result<platform::object>& read)
     -> core::result<std::pair<std::uint64_t, std::string>>
 {
@@ -22,6 +19,13 @@
     return std::pair(read.value().version, read.value().value);
 }
 
+auto run_all(const std::vector<std::function<void()>>& notifications) -> void
+{
+    for (const auto& notification : notifications) {
+        notification();
+    }
+}
+
 } // namespace
 
 bucket_shell::bucket_shell(std::string object_name,
@@ -37,45 +41,42 @@
       bucket(std::move(environment))
 {}
 
-auto bucket_shell::want(const claims::claim_wanted& wanted)
-    -> claims::claim_decided
+auto bucket_shell::want(const claims::claim_wanted& wanted,
+                        decided_handler decided) -> void
 {
-    auto lock = std::unique_lock(this->mutex);
-    this->perform(this->bucket.want(wanted, this->at()));
-    const auto is_decided = [this, &wanted] {
-        return this->decided.contains(wanted.claim);
-    };
-    const auto limit = wanted.deadline + decision_grace;
-    if (!this->clock.wait_until(lock, this->changed, limit, is_decided)) {
-        return {wanted.claim, claims::claims_errc::deadline_passed, {}, {}};
+    auto due = notifications();
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        this->waiting_claims.emplace(wanted.claim, std::move(decided));
+        due = this->perform(this->bucket.want(wanted, this->at()));
     }
-    return this->decided.extract(wanted.claim).mapped();
+    run_all(due);
 }
 
 auto bucket_shell::finish(const std::string& key,
                           const claims::claim_record& end,
-                          core::milliseconds patience) -> bool
+                          recorded_handler recorded) -> void
 {
-    auto lock = std::unique_lock(this->mutex);
-    this->waiting_for_end.insert(end.claim);
-    this->perform(this->bucket.finish(key, end, this->at()));
-    const auto is_recorded = [this, &end] {
-        return !this->waiting_for_end.contains(end.claim);
-    };
-    const auto limit = this->clock.now() + patience;
-    const auto recorded =
-        this->clock.wait_until(lock, this->changed, limit, is_recorded);
-    this->waiting_for_end.erase(end.claim);
-    return recorded;
+    auto due = notifications();
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        this->waiting_ends[end.claim] = std::move(recorded);
+        due = this->perform(this->bucket.finish(key, end, this->at()));
+    }
+    run_all(due);
 }
 
 auto bucket_shell::advance() -> void
 {
-    const auto guard = std::lock_guard(this->mutex);
-    const auto timer = this->bucket.next_timer();
-    if (timer && *timer <= this->clock.now()) {
-        this->perform(this->bucket.advance(this->at()));
+    auto due = notifications();
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        const auto timer = this->bucket.next_timer();
+        if (timer && *timer <= this->clock.now()) {
+            due = this->perform(this->bucket.advance(this->at()));
+        }
     }
+    run_all(due);
 }
 
 auto bucket_shell::pending() const -> std::size_t
@@ -84,49 +85,80 @@
     return this->bucket.pending();
 }
 
-auto bucket_shell::perform(const claims::bucket_actions& actions) -> void
+auto bucket_shell::perform(const claims::bucket_actions& actions)
+    -> notifications
 {
+    auto due = notifications();
     for (const auto& action : actions) {
-        if (const auto* read = std::get_if<claims::read_bucket>(&action)) {
-            this->submit(*read);
-        } else if (const auto* write =
+        if (std::holds_alternative<claims::read_bucket>(action)) {
+            this->executor.submit([this] { this->read(); });
+        } else if (const auto* call =
                        std::get_if<claims::write_bucket>(&action)) {
-            this->submit(*write);
-        } else if (const auto* settled =
+            this->executor.submit([this, call = *call] { this->write(call); });
+        } else if (const auto* decided =
                        std::get_if<claims::claim_decided>(&action)) {
-            this->decided.emplace(settled->claim, *settled);
+            due.push_back(this->notify(*decided));
         } else if (const auto* end =
                        std::get_if<claims::end_recorded>(&action)) {
-            this->waiting_for_end.erase(end->claim);
+            due.push_back(this->notify(*end));
         }
     }
-    this->changed.notify_all();
+    return due;
 }
 
-auto bucket_shell::submit(const claims::read_bucket& call) -> void
+auto bucket_shell::notify(const claims::claim_decided& decided)
+    -> std::function<void()>
 {
-    static_cast<void>(call);
-    this->executor.submit([this] {
-        const auto answer =
-            to_versioned(this->store.get(this->object, store_timeout));
-        this->count("read", answer ? std::error_code() : answer.error());
+    auto waiting = this->waiting_claims.extract(decided.claim);
+    if (waiting.empty()) {
+        return [] {
+        };
+    }
+    return [handler = std::move(waiting.mapped()), decided] {
+        handler(decided);
+    };
+}
+
+auto bucket_shell::notify(const claims::end_recorded& end)
+    -> std::function<void()>
+{
+    auto waiting = this->waiting_ends.extract(end.claim);
+    if (waiting.empty()) {
+        return [] {
+        };
+    }
+    return [handler = std::move(waiting.mapped()), claim = end.claim] {
+        handler(claim);
+    };
+}
+
+auto bucket_shell::read() -> void
+{
+    const auto answer =
+        to_versioned(this->store.get(this->object, store_timeout));
+    this->count("read", answer ? std::error_code() : answer.error());
+    auto due = notifications();
+    {
         const auto guard = std::lock_guard(this->mutex);
-        this->perform(this->bucket.was_read(answer, this->at()));
-    });
+        due = this->perform(this->bucket.was_read(answer, this->at()));
+    }
+    run_all(due);
 }
 
-auto bucket_shell::submit(const claims::write_bucket& call) -> void
+auto bucket_shell::write(const claims::write_bucket& call) -> void
 {
-    this->executor.submit([this, call] {
-        const auto answer =
-            call.expected
-                ? this->store.update(this->object, *call.expected, call.value,
-                                     store_timeout)
-                : this->store.create(this->object, call.value, store_timeout);
-        this->count("write", answer ? std::error_code() : answer.error());
+    const auto answer =
+        call.expected
+            ? this->store.update(this->object, *call.expected, call.value,
+                                 store_timeout)
+            : this->store.create(this->object, call.value, store_timeout);
+    this->count("write", answer ? std::error_code() : answer.error());
+    auto due = notifications();
+    {
         const auto guard = std::lock_guard(this->mutex);
-        this->perform(this->bucket.was_written(answer, this->at()));
-    });
+        due = this->perform(this->bucket.was_written(answer, this->at()));
+    }
+    run_all(due);
 }
 
 auto bucket_shell::count(const char* call, const std::error_code& error) -> void
--- a/src/services/claims/bucket_shell.h
+++ b/src/services/claims/bucket_shell.h
@@ -6,32 +6,36 @@
 #include "platform/object_store.h"
 #include "services/claims/store_executor.h"
 
-#include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
-#include <optional>
-#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace almondtiller::services {
 
-/// Carries one claims::claim_bucket: executes its store calls and wakes the
-/// threads that wait for its decisions. Thread-safe.
+/// Carries one claims::claim_bucket: executes its store calls and passes its
+/// decisions on. Thread-safe; handlers are called without the lock, on the
+/// thread that learned the result.
 class bucket_shell
 {
 public:
+    using decided_handler = std::function<void(const claims::claim_decided&)>;
+    using recorded_handler = std::function<void(const std::string& claim)>;
+
     bucket_shell(std::string object_name,
                  claims::bucket_environment environment,
                  platform::object_store& store, store_executor& executor,
                  core::runtime_clock& clock, core::metrics_registry& metrics);
 
-    /// Blocks until the claim is decided.
-    auto want(const claims::claim_wanted& wanted) -> claims::claim_decided;
+    /// Decides a claim; \a decided is called exactly once.
+    auto want(const claims::claim_wanted& wanted, decided_handler decided)
+        -> void;
 
-    /// Queues an end and waits for its record, at most \a patience.
-    /// \return Whether the end is known to be in the store.
+    /// Records an end; \a recorded is called once the store has it.
     auto finish(const std::string& key, const claims::claim_record& end,
-                core::milliseconds patience) -> bool;
+                recorded_handler recorded) -> void;
 
     /// Handles what time alone brings.
     auto advance() -> void;
@@ -39,9 +43,13 @@
     [[nodiscard]] auto pending() const -> std::size_t;
 
 private:
-    auto perform(const claims::bucket_actions& actions) -> void;
-    auto submit(const claims::read_bucket& call) -> void;
-    auto submit(const claims::write_bucket& call) -> void;
+    using notifications = std::vector<std::function<void()>>;
+
+    auto perform(const claims::bucket_actions& actions) -> notifications;
+    auto notify(const claims::claim_decided& decided) -> std::function<void()>;
+    auto notify(const claims::end_recorded& end) -> std::function<void()>;
+    auto read() -> void;
+    auto write(const claims::write_bucket& call) -> void;
     auto count(const char* call, const std::error_code& error) -> void;
     [[nodiscard]] auto at() const -> claims::moment;
 
@@ -52,10 +60,9 @@
     core::metrics_registry& metrics;
 
     mutable std::mutex mutex;
-    std::condition_variable changed;
     claims::claim_bucket bucket;
-    std::map<std::string, claims::claim_decided> decided;
-    std::set<std::string> waiting_for_end;
+    std::map<std::string, decided_handler> waiting_claims;
+    std::map<std::string, recorded_handler> waiting_ends;
 };
 
 } // namespace almondtiller::services
--- a/src/services/claims/claim_registry.h
+++ b/src/services/claims/claim_registry.h
@@ -77,8 +77,9 @@
     virtual auto acquire(const claim_request& request)
         -> core::result<claim_decision> = 0;
 
-    /// Records how a granted claim ended. An error means that the record is
-    /// not known to be stored; repeats then get claim_outcome_unknown.
+    /// Records how a granted claim ended, without waiting for the store. Until
+    /// the record is there, repeats get claim_in_progress.
+    /// \return claims_errc::unknown_claim when the claim is not held here.
     virtual auto finish(const std::string& claim, claim_end end,
                         const std::string& answer) -> std::error_code = 0;
 };
--- a/src/services/claims/claims_metrics.h
+++ b/src/services/claims/claims_metrics.h
@@ -10,7 +10,12 @@
 
 inline constexpr auto claim_ends = core::metric_info{
     "almondtiller_claim_ends_total", core::metric_kind::counter,
-    "Ends of claimed executions by kind and whether the store has them."};
+    "Ends of claimed executions by kind."};
+
+inline constexpr auto claim_routes = core::metric_info{
+    "almondtiller_claim_routes_total", core::metric_kind::counter,
+    "Claims by who decided them: this node, the bucket's owner, or this node "
+    "because the owner was silent."};
 
 inline constexpr auto claim_store_calls = core::metric_info{
     "almondtiller_claim_store_calls_total", core::metric_kind::counter,
--- a/src/services/claims/claims_service.cpp
+++ b/src/services/claims/claims_service.cpp
@@ -5,44 +5,27 @@
 #include "fleet/peer_bus.h"
 #include "kernel/kernel.h"
 #include "platform/platform_service.h"
-#include "services/claims/bucket_shell.h"
+#include "services/claims/bucket_set.h"
+#include "services/claims/claim_router.h"
 #include "services/claims/claims_metrics.h"
 #include "services/node/node_service.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
-#include <deque>
+#include <map>
+#include <mutex>
 #include <utility>
 
 namespace almondtiller::services {
 
 namespace {
 
-/// Fixed for good: a key's bucket must be the same for every node.
-constexpr auto bucket_count = 64U;
-constexpr auto store_thread_count = 8U;
-
-constexpr auto retention = core::milliseconds(3'600'000);
-constexpr auto retry_pause = core::milliseconds(200);
 /// Longer than any deadline: an older claim is not under way any more.
 constexpr auto longest_execution_ms = std::int64_t(120'000);
-constexpr auto end_patience = core::milliseconds(500);
 constexpr auto shutdown_patience = core::milliseconds(5000);
 constexpr auto answer_timeout = core::milliseconds(1000);
 constexpr auto busy_timer_interval = core::milliseconds(10);
 constexpr auto idle_timer_interval = core::milliseconds(1000);
 
-/// Leaves room below the platform's limit for JSON escapes.
-constexpr auto max_bucket_bytes = platform::max_value_bytes / 4 * 3;
-
-auto bucket_name(std::uint32_t index) -> std::string
-{
-    auto digits = std::array<char, 8>{};
-    std::snprintf(digits.data(), digits.size(), "%02x", index);
-    return digits.data();
-}
-
 auto answer_key(const std::string& claim) -> platform::object_key
 {
     return {"claim-answer", claim};
@@ -102,20 +85,6 @@
         claims::claim_record record;
     };
 
-    auto bucket_for(const std::string& key) -> bucket_shell&
-    {
-        return this->buckets[claims::bucket_of(key, bucket_count)];
-    }
-
-    [[nodiscard]] auto pending() const -> std::size_t
-    {
-        auto sum = std::size_t(0);
-        for (const auto& bucket : this->buckets) {
-            sum += bucket.pending();
-        }
-        return sum;
-    }
-
     [[nodiscard]] auto may_be_executing(const claims::claim_record& record,
                                         const claims::moment& at) const -> bool
     {
@@ -135,11 +104,15 @@
         return this->identity.id.str() + "-" + this->random.hex_id();
     }
 
+    [[nodiscard]] auto pending() const -> std::size_t
+    {
+        return this->buckets->pending() + this->router->unrecorded_count();
+    }
+
     auto run_timers() -> core::duration
     {
-        for (auto& bucket : this->buckets) {
-            bucket.advance();
-        }
+        this->buckets->advance();
+        this->router->advance();
         return this->pending() > 0 ? busy_timer_interval : idle_timer_interval;
     }
 
@@ -201,9 +174,8 @@
     core::random_source random = core::random_source(core::system_seed());
     std::map<std::string, held_claim> held;
 
-    std::deque<bucket_shell> buckets;
-    /// Destroyed before the buckets that its threads use.
-    std::unique_ptr<store_executor> executor;
+    std::unique_ptr<bucket_set> buckets;
+    std::unique_ptr<claim_router> router;
     std::unique_ptr<core::periodic_task> timers;
 };
 
@@ -228,7 +200,6 @@
 {
     this->data->clock = &kernel.clock();
     this->data->metrics = &kernel.metrics();
-    this->data->executor = std::make_unique<store_executor>(store_thread_count);
     return {};
 }
 
@@ -240,19 +211,14 @@
         kernel.find<platform::object_store>(platform::platform_service_name);
     data.peers = kernel.find<fleet::peer_bus>(fleet::peers_service_name);
     data.identity = kernel.find<node_service>(node_service_name)->identity();
-    auto environment = claims::bucket_environment();
-    environment.node = data.identity.id.str();
-    environment.incarnation = data.identity.incarnation;
-    environment.is_holder_alive = [&data](const auto& record, const auto& at) {
-        return data.may_be_executing(record, at);
-    };
-    environment.retention = retention;
-    environment.retry_pause = retry_pause;
-    environment.max_value_bytes = max_bucket_bytes;
-    for (auto index = 0U; index < bucket_count; ++index) {
-        data.buckets.emplace_back(bucket_name(index), environment, *data.store,
-                                  *data.executor, *data.clock, *data.metrics);
-    }
+    data.buckets = std::make_unique<bucket_set>(
+        *data.store, *data.clock, *data.metrics,
+        [&data](const auto& record, const auto& at) {
+            return data.may_be_executing(record, at);
+        });
+    data.router = std::make_unique<claim_router>(*data.peers, *data.buckets,
+                                                 *data.clock, *data.metrics);
+    data.router->handle_topics();
     data.timers = std::make_unique<core::periodic_task>(
         *data.clock, [&data] { return data.run_timers(); });
     return {};
@@ -273,7 +239,7 @@
     if (data.timers) {
         data.timers->stop();
     }
-    data.executor->stop();
+    data.buckets->stop();
 }
 
 auto claims_service::acquire(const claim_request& request)
@@ -286,9 +252,11 @@
     wanted.key =
         claims::record_key(request.workspace.str(), request.idempotency_key);
     wanted.fingerprint = request.fingerprint;
+    wanted.node = data.identity.id.str();
+    wanted.incarnation = data.identity.incarnation;
     wanted.deadline = request.deadline;
     data.timers->wake();
-    const auto decided = data.bucket_for(wanted.key).want(wanted);
+    const auto decided = data.router->want(wanted, data.new_claim_id());
     data.metrics
         ->counter_for(claim_decisions, {{"verdict", verdict_name(decided)}})
         .add();
@@ -320,14 +288,9 @@
         held.record.state = claims::claim_state::unknown;
     }
     data.timers->wake();
-    const auto recorded =
-        data.bucket_for(held.key).finish(held.key, held.record, end_patience);
-    data.metrics
-        ->counter_for(claim_ends, {{"end", end_name(end)},
-                                   {"recorded", recorded ? "yes" : "no"}})
-        .add();
-    return recorded ? std::error_code()
-                    : make_error_code(claims::claims_errc::store_unavailable);
+    data.router->finish(held.key, held.record);
+    data.metrics->counter_for(claim_ends, {{"end", end_name(end)}}).add();
+    return {};
 }
 
 } // namespace almondtiller::services
--- a/tests/unit/claims/claim_bucket_property_test.cpp
+++ b/tests/unit/claims/claim_bucket_property_test.cpp
@@ -68,8 +68,6 @@
         auto& started = this->nodes[index];
         ++started.incarnation;
         auto environment = bucket_environment();
-        environment.node = node_name(index);
-        environment.incarnation = started.incarnation;
         environment.is_holder_alive = [this](const claim_record& record,
                                              const moment&) {
             const auto holder = std::stoul(record.node.substr(1));
@@ -79,6 +77,7 @@
         environment.retention = core::milliseconds(100'000'000);
         environment.retry_pause = core::milliseconds(50);
         environment.max_value_bytes = 1'000'000;
+        environment.write_interval = core::milliseconds(30);
         started.bucket.emplace(environment);
         started.calls.clear();
     }
@@ -118,7 +117,11 @@
         const auto key = "k" + std::to_string(this->random.below(key_count));
         this->key_of[claim] = key;
         const auto wanted = claim_wanted{
-            claim, key, "f" + key,
+            claim,
+            key,
+            "f" + key,
+            node_name(index),
+            this->nodes[index].incarnation,
             this->now + core::milliseconds(20 + this->random.below(300))};
         this->handle(index,
                      this->nodes[index].bucket->want(wanted, this->at()));
--- a/tests/unit/claims/claim_bucket_test.cpp
+++ b/tests/unit/claims/claim_bucket_test.cpp
@@ -12,8 +12,6 @@
 auto make_environment() -> bucket_environment
 {
     auto environment = bucket_environment();
-    environment.node = "n1";
-    environment.incarnation = 7;
     environment.is_holder_alive = [](const claim_record& record,
                                      const moment&) {
         return record.node == "alive";
@@ -32,7 +30,8 @@
 auto want(const std::string& claim, const std::string& key = "k")
     -> claim_wanted
 {
-    return {claim, key, "f", core::time_point(core::milliseconds(1000))};
+    return {claim, key, "f",
+            "n1",  7,   core::time_point(core::milliseconds(1000))};
 }
 
 using read_value = core::result<std::pair<std::uint64_t, std::string>>;
@@ -74,6 +73,21 @@
     EXPECT_EQ(bucket.was_written(std::uint64_t(9), at(2)).size(), 2U);
 }
 
+TEST(claim_bucket, waits_between_writes_and_groups_what_arrives)
+{
+    auto environment = make_environment();
+    environment.write_interval = core::milliseconds(50);
+    auto bucket = claim_bucket(environment);
+    bucket.want(want("c1", "k1"), at(0));
+    bucket.was_read(absent(), at(1));
+    bucket.was_written(std::uint64_t(9), at(2));
+    EXPECT_TRUE(bucket.want(want("c2", "k2"), at(10)).empty());
+    EXPECT_TRUE(bucket.want(want("c3", "k3"), at(20)).empty());
+    EXPECT_EQ(bucket.next_timer(), at(51).now);
+    only<write_bucket>(bucket.advance(at(51)));
+    EXPECT_EQ(bucket.was_written(std::uint64_t(10), at(52)).size(), 2U);
+}
+
 TEST(claim_bucket, settles_a_lost_answer_by_reading_back)
 {
     auto bucket = claim_bucket(make_environment());
