Bound store calls, show the control plane's cost, replay the configuration

Change: on_change() calls the handler at once when there is a configuration; gauges for peer bytes, revision and age; a token bucket for store calls.

--- a/src/libs/fleet/config_source.h
+++ b/src/libs/fleet/config_source.h
@@ -21,7 +21,8 @@
     /// \return Never null; revision 0 before any configuration is known.
     [[nodiscard]] virtual auto current() const -> settings::snapshot_ptr = 0;
 
-    /// Calls \a handler with each newer snapshot, in order, on one thread.
+    /// Calls \a handler at once when there is a configuration, and with each
+    /// newer snapshot, in order and one call at a time.
     virtual auto on_change(change_handler handler) -> void = 0;
 };
 
--- a/src/libs/fleet/fleet_errc.cpp
+++ b/src/libs/fleet/fleet_errc.cpp
@@ -39,6 +39,8 @@
                 "the peer failed to answer"},
     error_entry{int(fleet_errc::address_unavailable), "address_unavailable",
                 "the address for peers cannot be listened on"},
+    error_entry{int(fleet_errc::store_budget_spent), "store_budget_spent",
+                "this node has made its calls to the platform"},
 };
 
 } // namespace
--- a/src/libs/fleet/fleet_errc.h
+++ b/src/libs/fleet/fleet_errc.h
@@ -24,6 +24,7 @@
     shutting_down,
     peer_failed,
     address_unavailable,
+    store_budget_spent,
 };
 
 [[nodiscard]] auto fleet_category() -> const core::table_category&;
--- a/src/services/config/config_answers.cpp
+++ b/src/services/config/config_answers.cpp
@@ -6,6 +6,18 @@
 
 namespace almondtiller::services {
 
+namespace {
+
+constexpr auto revision_info =
+    core::metric_info{"almondtiller_config_revision", core::metric_kind::gauge,
+                      "Revision of the configuration in force."};
+
+constexpr auto age_info = core::metric_info{
+    "almondtiller_config_age_milliseconds", core::metric_kind::gauge,
+    "Time since the platform confirmed the configuration; -1 when never."};
+
+} // namespace
+
 auto config_follower::answer_head(const std::string& body)
     -> core::result<std::string>
 {
@@ -42,7 +54,11 @@
 
 auto config_follower::facts() -> fleet::gossip_facts
 {
-    return {this->current()->revision, this->age_ms()};
+    const auto told =
+        fleet::gossip_facts{this->current()->revision, this->age_ms()};
+    this->metrics.gauge_for(revision_info).set(double(told.config_revision));
+    this->metrics.gauge_for(age_info).set(double(told.config_age_ms));
+    return told;
 }
 
 auto config_follower::hear_facts(const core::node_id& sender,
@@ -82,11 +98,19 @@
     return this->assembler.in_force();
 }
 
-auto config_follower::on_change(fleet::config_source::change_handler handler)
-    -> void
+auto config_follower::on_change(
+    const fleet::config_source::change_handler& handler) -> void
 {
-    const auto guard = std::lock_guard(this->mutex);
-    this->handlers.push_back(std::move(handler));
+    const auto order = std::lock_guard(this->delivery_mutex);
+    auto snapshot = settings::snapshot_ptr();
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        this->handlers.push_back(handler);
+        snapshot = this->assembler.in_force();
+    }
+    if (snapshot->revision > 0) {
+        handler(snapshot);
+    }
 }
 
 auto config_follower::is_isolated() const -> bool
--- a/src/services/config/config_follower.cpp
+++ b/src/services/config/config_follower.cpp
@@ -90,6 +90,9 @@
 
 auto config_follower::ask_store() -> void
 {
+    if (!this->may_call_store()) {
+        return;
+    }
     const auto role =
         this->is_watcher() ? store_role::watcher : store_role::follower;
     const auto text = this->read_store();
@@ -252,6 +255,9 @@
             return text;
         }
     }
+    if (!this->may_call_store()) {
+        return make_error_code(fleet::fleet_errc::store_budget_spent);
+    }
     const auto found =
         this->store.get({fleet::config_shard_kind, digest}, store_timeout);
     this->count_store_call("get", found ? std::error_code() : found.error());
@@ -263,6 +269,7 @@
 
 auto config_follower::put_in_force() -> void
 {
+    const auto order = std::lock_guard(this->delivery_mutex);
     auto snapshot = settings::snapshot_ptr();
     auto listeners = std::vector<fleet::config_source::change_handler>();
     {
@@ -311,6 +318,15 @@
     this->on_ready();
 }
 
+auto config_follower::may_call_store() -> bool
+{
+    if (this->budget.try_take(this->clock.now())) {
+        return true;
+    }
+    this->count_store_call("none", fleet::fleet_errc::store_budget_spent);
+    return false;
+}
+
 auto config_follower::count_store_call(const char* call,
                                        const std::error_code& error) -> void
 {
--- a/src/services/config/config_follower.h
+++ b/src/services/config/config_follower.h
@@ -10,6 +10,7 @@
 #include "fleet/peer_bus.h"
 #include "fleet/poll_schedule.h"
 #include "fleet/startup_check.h"
+#include "fleet/store_budget.h"
 #include "platform/object_store.h"
 
 #include <functional>
@@ -52,7 +53,9 @@
                     const fleet::gossip_facts& told) -> void;
 
     [[nodiscard]] auto current() const -> settings::snapshot_ptr;
-    auto on_change(fleet::config_source::change_handler handler) -> void;
+    /// Calls the handler at once when there is a configuration, and with
+    /// each newer one.
+    auto on_change(const fleet::config_source::change_handler& handler) -> void;
     [[nodiscard]] auto is_isolated() const -> bool;
 
     /// \return Milliseconds since the platform confirmed the configuration,
@@ -73,6 +76,7 @@
     auto push(const std::vector<fleet::member>& members) -> void;
     auto confirm(std::uint64_t revision, std::int64_t age_ms) -> void;
     auto check_start(std::size_t known_peers) -> void;
+    auto may_call_store() -> bool;
     auto count_store_call(const char* call, const std::error_code& error)
         -> void;
 
@@ -81,6 +85,8 @@
     platform::object_store& store;
     fleet::peer_bus& peers;
 
+    /// Held while handlers are called, before mutex.
+    std::mutex delivery_mutex;
     mutable std::mutex mutex;
     fleet::config_assembler assembler;
     fleet::contact_monitor contact;
@@ -93,6 +99,7 @@
 
     /// Used by run() only.
     fleet::poll_schedule schedule;
+    fleet::store_budget budget;
     core::random_source random;
     std::uint64_t store_version = 0;
     std::uint64_t pushed_revision = 0;
--- a/src/services/config/config_service.cpp
+++ b/src/services/config/config_service.cpp
@@ -125,7 +125,7 @@
 
 auto config_service::on_change(change_handler handler) -> void
 {
-    this->data->follower->on_change(std::move(handler));
+    this->data->follower->on_change(handler);
 }
 
 auto config_service::status() const -> std::string
--- a/src/services/peers/gossip_driver.cpp
+++ b/src/services/peers/gossip_driver.cpp
@@ -21,6 +21,10 @@
     "almondtiller_members", core::metric_kind::gauge,
     "Nodes that are members of the fleet, this one included."};
 
+constexpr auto traffic_info = core::metric_info{
+    "almondtiller_peer_bytes", core::metric_kind::gauge,
+    "Bytes exchanged with peers since the start, by direction."};
+
 } // namespace
 
 gossip_driver::gossip_driver(const core::runtime_clock& clock,
@@ -31,6 +35,9 @@
       transport(transport),
       probe_failures(metrics.counter_for(probe_failures_info)),
       live_members(metrics.gauge_for(members_info)),
+      sent_bytes(metrics.gauge_for(traffic_info, {{"direction", "sent"}})),
+      received_bytes(
+          metrics.gauge_for(traffic_info, {{"direction", "received"}})),
       machine(self, this->options, seed)
 {}
 
@@ -132,6 +139,9 @@
 
 auto gossip_driver::tick() -> void
 {
+    const auto traffic = this->transport.traffic();
+    this->sent_bytes.set(double(traffic.sent_bytes));
+    this->received_bytes.set(double(traffic.received_bytes));
     auto orders = std::vector<fleet::probe_order>();
     {
         const auto guard = std::lock_guard(this->mutex);
--- a/src/services/peers/gossip_driver.h
+++ b/src/services/peers/gossip_driver.h
@@ -61,6 +61,8 @@
     peer_transport& transport;
     core::counter& probe_failures;
     core::gauge& live_members;
+    core::gauge& sent_bytes;
+    core::gauge& received_bytes;
     fleet::membership_options options;
     mutable std::mutex mutex;
     fleet::membership machine;
--- a/src/services/peers/peers_service.cpp
+++ b/src/services/peers/peers_service.cpp
@@ -19,10 +19,6 @@
 /// Threads that run handlers which may block.
 constexpr auto handler_threads = 4;
 
-constexpr auto traffic_info = core::metric_info{
-    "almondtiller_peer_bytes", core::metric_kind::gauge,
-    "Bytes exchanged with peers since the start, by direction."};
-
 constexpr auto failed_calls_info = core::metric_info{
     "almondtiller_peer_call_failures_total", core::metric_kind::counter,
     "Calls to peers that failed, by reason."};
@@ -242,11 +238,6 @@
 auto peers_service::status() const -> std::string
 {
     const auto traffic = this->data->transport->traffic();
-    auto& metrics = *this->data->metrics;
-    metrics.gauge_for(traffic_info, {{"direction", "sent"}})
-        .set(double(traffic.sent_bytes));
-    metrics.gauge_for(traffic_info, {{"direction", "received"}})
-        .set(double(traffic.received_bytes));
     auto members = nlohmann::json::array();
     for (const auto& member : this->members()) {
         members.push_back({{"node", member.id.str()},
--- a/tests/unit/fleet/distribution_test.cpp
+++ b/tests/unit/fleet/distribution_test.cpp
@@ -7,6 +7,7 @@
 #include "fleet/leave_schedule.h"
 #include "fleet/poll_schedule.h"
 #include "fleet/startup_check.h"
+#include "fleet/store_budget.h"
 #include "fleet/watcher_choice.h"
 
 #include <gtest/gtest.h>
@@ -187,6 +188,24 @@
     EXPECT_GE(asks, 15);
 }
 
+/// However often a node wants to, it calls no more than its budget.
+RC_GTEST_PROP(store_budget_properties, calls_are_bounded,
+              (std::vector<std::uint16_t> pauses))
+{
+    constexpr auto per_second = 5.0;
+    constexpr auto burst = 10.0;
+    auto budget = store_budget(per_second, burst);
+    const auto start = core::time_point() + 1h;
+    auto now = start;
+    auto calls = 0.0;
+    for (const auto pause : pauses) {
+        now += core::milliseconds(pause);
+        calls += budget.try_take(now) ? 1.0 : 0.0;
+    }
+    const auto seconds = std::chrono::duration<double>(now - start).count();
+    RC_ASSERT(calls <= burst + per_second * seconds + 0.001);
+}
+
 auto instance(int number, int port) -> platform::instance
 {
     auto made = platform::instance();
