Refuse requests while a node starts, is isolated or leaves

Cause: the entry service ignored the node's admission state, and a cancellation was lost when its kept-alive connection had been closed. Change: typed refusals with other endpoints from a leaving node; /readyz follows is_ready; a cancellation is repeated once on a new connection.

--- a/src/libs/api/api_errc.h
+++ b/src/libs/api/api_errc.h
@@ -22,6 +22,8 @@
     in_progress,
     outcome_unknown,
     no_configuration,
+    node_isolated,
+    node_leaving,
     upstream_failed,
     stream_broken,
     deadline_exceeded,
--- a/src/libs/api/problem.cpp
+++ b/src/libs/api/problem.cpp
@@ -48,6 +48,8 @@
     case api_errc::caller_gone:
         return client_closed_request;
     case api_errc::no_configuration:
+    case api_errc::node_isolated:
+    case api_errc::node_leaving:
     case api_errc::overloaded:
         return unavailable;
     case api_errc::internal_error:
--- a/src/services/entry/entry_service.cpp
+++ b/src/services/entry/entry_service.cpp
@@ -1,6 +1,7 @@
 #include "services/entry/entry_service.h"
 
 #include "api/api_errc.h"
+#include "services/endpoints/endpoints_service.h"
 #include "services/entry/event_queue.h"
 #include "services/http/http_service.h"
 #include "services/node/node_service.h"
@@ -17,6 +18,7 @@
 
 constexpr auto http_ok = 200;
 constexpr auto http_unavailable = 503;
+constexpr auto admission_retry_after = core::milliseconds(500);
 constexpr auto json_media_type = "application/json";
 constexpr auto stream_media_type = "text/event-stream";
 constexpr auto text_media_type = "text/plain; version=0.0.4";
@@ -107,6 +109,7 @@
     this->execution = kernel.find<executor>(execution_service_name);
     this->http = kernel.find<http_service>(http_service_name);
     this->node = kernel.find<node_service>(node_service_name);
+    this->endpoints = kernel.find<endpoints_service>(endpoints_service_name);
     this->http->add_route(http_method::post, "/v1/run",
                           [this](const auto& request, auto& response) {
                               this->run(request, response);
@@ -117,9 +120,9 @@
                           });
     this->http->add_route(
         http_method::get, "/readyz", [this](const auto&, auto& response) {
-            const auto leaving = this->node->is_leaving();
-            response.status = leaving ? http_unavailable : http_ok;
-            response.set_content(leaving ? "leaving\n" : "ready\n",
+            const auto ready = this->node->is_ready();
+            response.status = ready ? http_ok : http_unavailable;
+            response.set_content(ready ? "ready\n" : "not ready\n",
                                  "text/plain");
         });
     this->http->add_route(
@@ -139,6 +142,10 @@
 auto entry_service::run(const httplib::Request& request,
                         httplib::Response& response) -> void
 {
+    if (const auto error = this->admission_error()) {
+        this->refuse(error, response);
+        return;
+    }
     const auto wanted = api::parse_run_request(request.body);
     if (!wanted) {
         this->refuse(wanted.error(), response);
@@ -151,6 +158,21 @@
     }
 }
 
+auto entry_service::admission_error() const -> std::error_code
+{
+    switch (this->node->admission_state()) {
+    case admission::open:
+        return {};
+    case admission::starting:
+        return api::api_errc::no_configuration;
+    case admission::isolated:
+        return api::api_errc::node_isolated;
+    case admission::leaving:
+        return api::api_errc::node_leaving;
+    }
+    return api::api_errc::internal_error;
+}
+
 auto entry_service::refuse(std::error_code code, httplib::Response& response)
     -> void
 {
@@ -159,6 +181,13 @@
         .add();
     auto described = api::problem();
     described.code = code;
+    if (api::status_of(described) == http_unavailable) {
+        described.retry_after = admission_retry_after;
+    }
+    if (code == api::api_errc::node_leaving && this->endpoints != nullptr) {
+        described.endpoints =
+            this->endpoints->addresses(this->node->identity().zone);
+    }
     write_conclusion(described, response);
 }
 
--- a/src/services/entry/entry_service.h
+++ b/src/services/entry/entry_service.h
@@ -11,6 +11,7 @@
 
 namespace almondtiller::services {
 
+class endpoints_service;
 class http_service;
 class node_service;
 
@@ -38,12 +39,15 @@
         -> void;
     auto run_streamed(const api::run_request& wanted,
                       httplib::Response& response) -> void;
+    /// \return Why no request is taken now; no error otherwise.
+    [[nodiscard]] auto admission_error() const -> std::error_code;
     auto refuse(std::error_code code, httplib::Response& response) -> void;
 
     core::metrics_registry* metrics = nullptr;
     executor* execution = nullptr;
     http_service* http = nullptr;
     node_service* node = nullptr;
+    endpoints_service* endpoints = nullptr; ///< May be null.
 };
 
 } // namespace almondtiller::services
--- a/src/services/upstreams/attempt_call.cpp
+++ b/src/services/upstreams/attempt_call.cpp
@@ -205,11 +205,16 @@
 auto attempt_caller::cancel(const std::string& address,
                             const core::attempt_id& attempt) -> void
 {
-    auto client = this->connections.take(address, false);
-    set_timeouts(*client, side_call_timeout);
     const auto body = nlohmann::json{{"attempt", attempt.str()}}.dump();
-    if (client->Post("/v1/cancel", body, "application/json")) {
-        this->connections.give_back(address, std::move(client));
+    // A kept-alive connection may have been closed; a cancellation may be
+    // repeated.
+    for (const auto fresh : {false, true}) {
+        auto client = this->connections.take(address, fresh);
+        set_timeouts(*client, side_call_timeout);
+        if (client->Post("/v1/cancel", body, "application/json")) {
+            this->connections.give_back(address, std::move(client));
+            return;
+        }
     }
 }
 
--- a/tests/unit/services/node_fixture.cpp
+++ b/tests/unit/services/node_fixture.cpp
@@ -100,6 +100,8 @@
     this->kernel->add(std::make_unique<execution_service>());
     this->kernel->add(std::make_unique<entry_service>());
     ASSERT_FALSE(this->kernel->start());
+    this->kernel->find<node_service>(node_service_name)
+        ->set_has_configuration();
     this->grant_cold_slots();
     this->http = this->kernel->find<http_service>(http_service_name);
     this->http->start_listening();
--- a/tests/unit/services/request_path_test.cpp
+++ b/tests/unit/services/request_path_test.cpp
@@ -1,37 +1,16 @@
+#include "gate.h"
 #include "node_fixture.h"
+#include "services/node/node_service.h"
 
 #include <httplib.h>
 
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 
 namespace almondtiller::services {
 
 namespace {
 
-/// Holds runs back until it is opened.
-class gate
-{
-public:
-    auto wait() -> void
-    {
-        auto lock = std::unique_lock(this->mutex);
-        this->changed.wait(lock, [this] { return this->is_open; });
-    }
-    auto open() -> void
-    {
-        const auto guard = std::lock_guard(this->mutex);
-        this->is_open = true;
-        this->changed.notify_all();
-    }
-
-private:
-    std::mutex mutex;
-    std::condition_variable changed;
-    bool is_open = false;
-};
-
 auto count_of(const std::string& text, const std::string& part) -> int
 {
     auto count = 0;
@@ -80,6 +59,17 @@
               std::string::npos);
 }
 
+TEST_F(request_path_test, refuses_new_requests_when_it_leaves)
+{
+    this->start({echo});
+    this->kernel->find<node_service>(node_service_name)->set_refusing();
+    const auto answer = this->call(request_for("plan"));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.body["code"], "node_leaving");
+    EXPECT_EQ(answer.body["outcome"], "not_run");
+    EXPECT_TRUE(this->upstreams[0]->runs().empty());
+}
+
 TEST_F(request_path_test, tries_another_upstream_after_a_refused_connection)
 {
     this->add_dead_upstream();
