Keep what upstream scripts use alive until they end

Cause: request_path_test.answers_at_the_deadline_and_cancels_the_attempt aborted or hung in about one run of twenty: a gate on the test's stack was destroyed while a fake upstream's thread still waited on it. Change: the gate and the run counter are members of the fixture and outlive the upstreams. Conclusion: the fault was the test's, not the node's.

--- a/tests/unit/services/connection_test.cpp
+++ b/tests/unit/services/connection_test.cpp
@@ -1,4 +1,3 @@
-#include "gate.h"
 #include "node_fixture.h"
 #include "raw_connection.h"
 
@@ -76,30 +75,28 @@
 
 TEST_F(connection_test, rejects_connections_while_all_are_busy)
 {
-    auto held = gate();
     this->options.max_connections = 1;
-    this->start({[&held](const received_run& run, httplib::Response& response) {
-        held.wait();
+    this->start({[this](const received_run& run, httplib::Response& response) {
+        this->held.wait();
         echo(run, response);
     }});
     auto first = caller_answer();
     auto caller = std::thread(
         [this, &first] { first = this->call(request_for("plan")); });
-    held.await_held();
+    this->held.await_held();
     auto connection = raw_connection(this->http->port());
     const auto text = connection.read_all();
     EXPECT_NE(text.find("503"), std::string::npos);
     EXPECT_NE(text.find("overloaded"), std::string::npos);
-    held.open();
+    this->held.open();
     caller.join();
     EXPECT_EQ(first.status, 200);
 }
 
 TEST_F(connection_test, a_shutdown_lets_a_running_request_finish)
 {
-    auto held = gate();
-    this->start({[&held](const received_run& run, httplib::Response& response) {
-        held.wait();
+    this->start({[this](const received_run& run, httplib::Response& response) {
+        this->held.wait();
         stream_tokens(run, response, 3, true);
     }});
     auto body = request_for("plan");
@@ -108,7 +105,7 @@
     auto answer = caller_answer();
     auto caller =
         std::thread([this, &answer, &body] { answer = this->call(body); });
-    held.await_held();
+    this->held.await_held();
     const auto port = this->http->port();
     auto stopper = std::thread([this] { this->kernel->shutdown(); });
     auto is_refused = [port] {
@@ -118,7 +115,7 @@
     while (!is_refused()) {
         std::this_thread::yield();
     }
-    held.open();
+    this->held.open();
     caller.join();
     stopper.join();
     EXPECT_EQ(answer.status, 200);
--- a/tests/unit/services/node_fixture.cpp
+++ b/tests/unit/services/node_fixture.cpp
@@ -68,6 +68,7 @@
 
 node_fixture::~node_fixture()
 {
+    this->held.open();
     if (this->kernel) {
         this->kernel->shutdown();
         this->kernel.reset();
--- a/tests/unit/services/node_fixture.h
+++ b/tests/unit/services/node_fixture.h
@@ -2,6 +2,7 @@
 
 #include "fake_services.h"
 #include "fake_upstream.h"
+#include "gate.h"
 #include "kernel/kernel.h"
 #include "services/http/http_service.h"
 
@@ -9,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -44,6 +46,10 @@
     /// \return The exposition, to look for counters in.
     [[nodiscard]] auto metrics() -> std::string;
 
+    // Scripts use these on the upstreams' threads, which end before them.
+    gate held;
+    std::atomic<int> run_count = 0;
+
     std::unique_ptr<kernel::service_kernel> kernel;
     std::vector<std::unique_ptr<fake_upstream>> upstreams;
     std::vector<platform::instance> instances;
--- a/tests/unit/services/request_path_test.cpp
+++ b/tests/unit/services/request_path_test.cpp
@@ -1,10 +1,8 @@
-#include "gate.h"
 #include "node_fixture.h"
 #include "services/node/node_service.h"
 
 #include <httplib.h>
 
-#include <atomic>
 #include <chrono>
 
 namespace almondtiller::services {
@@ -81,10 +79,9 @@
 
 TEST_F(request_path_test, drops_an_answer_to_another_attempt)
 {
-    auto runs = std::atomic<int>(0);
-    this->start({[&runs](const received_run& run, httplib::Response& response) {
+    this->start({[this](const received_run& run, httplib::Response& response) {
         auto answered = run;
-        if (++runs == 1) {
+        if (++this->run_count == 1) {
             answered.attempt = "crossed";
             answered.input = "\"crossed\"";
         }
@@ -93,15 +90,14 @@
     const auto answer = this->call(request_for("plan"));
     EXPECT_EQ(answer.status, 200);
     EXPECT_EQ(answer.body["output"]["text"], "draft");
-    EXPECT_EQ(runs, 2);
+    EXPECT_EQ(this->run_count, 2);
     EXPECT_NE(this->metrics().find("reason=\"foreign\""), std::string::npos);
 }
 
 TEST_F(request_path_test, answers_at_the_deadline_and_cancels_the_attempt)
 {
-    auto held = gate();
-    this->start({[&held](const received_run& run, httplib::Response& response) {
-        held.wait();
+    this->start({[this](const received_run& run, httplib::Response& response) {
+        this->held.wait();
         echo(run, response);
     }});
     auto body = request_for("plan");
@@ -119,7 +115,7 @@
     }
     EXPECT_EQ(this->upstreams[0]->cancelled().front(),
               this->upstreams[0]->runs().front().attempt);
-    held.open();
+    this->held.open();
 }
 
 TEST_F(request_path_test, runs_a_side_effect_once_and_replays_its_answer)
@@ -154,9 +150,8 @@
 
 TEST_F(request_path_test, retries_a_side_effect_that_was_refused)
 {
-    auto runs = std::atomic<int>(0);
-    this->start({[&runs](const received_run& run, httplib::Response& response) {
-        if (++runs == 1) {
+    this->start({[this](const received_run& run, httplib::Response& response) {
+        if (++this->run_count == 1) {
             refuse_run(run, response);
         } else {
             echo(run, response);
@@ -185,9 +180,8 @@
 
 TEST_F(request_path_test, resumes_a_broken_stream_without_gap_or_repeat)
 {
-    auto runs = std::atomic<int>(0);
-    this->start({[&runs](const received_run& run, httplib::Response& response) {
-        const auto is_first = ++runs == 1;
+    this->start({[this](const received_run& run, httplib::Response& response) {
+        const auto is_first = ++this->run_count == 1;
         stream_tokens(run, response, is_first ? 3 : 6, !is_first);
     }});
     auto body = request_for("plan");
