Tell the truth after an internal error and drop stale connections

Cause: a 500 claimed not_run, an exception on a streamed request's thread ended the process, connections to replaced upstreams were kept for ever, and a rejected caller could lose its answer to a reset. Change: internal errors are unknown, exceptions end at the thread's top, connections to unlisted addresses are closed, rejection reads what arrived before it closes; an upstream that left the list between decision and dispatch is reported as no_upstream.

--- a/src/services/entry/entry_service.cpp
+++ b/src/services/entry/entry_service.cpp
@@ -43,6 +43,20 @@
     response.set_content(api::to_json(described), api::problem_media_type);
 }
 
+/// Runs a request at the top of a thread, where exceptions end.
+auto run_safely(executor& execution, const api::run_request& wanted,
+                const run_hooks& hooks) -> run_conclusion
+{
+    try {
+        return execution.run(wanted, hooks);
+    } catch (const std::exception&) {
+        auto described = api::problem();
+        described.code = api::api_errc::internal_error;
+        described.outcome = api::failed_outcome::unknown;
+        return described;
+    }
+}
+
 /// A streamed request: its queue and the thread that runs it.
 struct streamed_run
 {
@@ -215,7 +229,8 @@
         hooks.is_abandoned = [run] {
             return run->is_abandoned();
         };
-        run->queue.push_conclusion(this->execution->run(run->wanted, hooks));
+        run->queue.push_conclusion(
+            run_safely(*this->execution, run->wanted, hooks));
     });
     const auto early = run->queue.wait_for_first();
     if (early && std::holds_alternative<api::problem>(*early)) {
--- a/src/services/http/connection_server.cpp
+++ b/src/services/http/connection_server.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <string>
 #include <utility>
 
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr auto listen_backlog = 1024;
+constexpr auto unread_bytes = std::size_t(4096);
 constexpr auto rejected_retry_after = core::milliseconds(1000);
 
 thread_local auto served_connection = socket_t(-1);
@@ -34,6 +36,11 @@
         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
         body;
     ::send(socket, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    // Closing with bytes unread would reset the connection and could take
+    // the answer with it.
+    ::shutdown(socket, SHUT_WR);
+    auto unread = std::array<char, unread_bytes>();
+    ::recv(socket, unread.data(), unread.size(), MSG_DONTWAIT);
 }
 
 } // namespace
--- a/src/services/http/http_service.cpp
+++ b/src/services/http/http_service.cpp
@@ -76,6 +76,9 @@
         }
         auto described = api::problem();
         described.code = code_for(response.status);
+        if (response.status == http_internal_error) {
+            described.outcome = api::failed_outcome::unknown;
+        }
         response.set_content(api::to_json(described), api::problem_media_type);
         this->metrics
             ->counter_for(errors_info,
--- a/src/services/upstreams/attempt_call.cpp
+++ b/src/services/upstreams/attempt_call.cpp
@@ -231,6 +231,11 @@
     return std::move(answer->body);
 }
 
+auto attempt_caller::retain(const std::set<std::string>& addresses) -> void
+{
+    this->connections.retain(addresses);
+}
+
 auto attempt_caller::stop() -> void
 {
     this->watch.stop();
--- a/src/services/upstreams/attempt_call.h
+++ b/src/services/upstreams/attempt_call.h
@@ -4,6 +4,8 @@
 #include "services/upstreams/connection_pool.h"
 #include "services/upstreams/deadline_watch.h"
 
+#include <set>
+
 namespace almondtiller::services {
 
 /// What came out of one call to an upstream.
@@ -36,6 +38,9 @@
     /// \return The body of GET /v1/load, or nothing.
     auto load(const std::string& address) -> std::optional<std::string>;
 
+    /// Closes the kept-alive connections to all other addresses.
+    auto retain(const std::set<std::string>& addresses) -> void;
+
     auto stop() -> void;
 
 private:
--- a/src/services/upstreams/connection_pool.cpp
+++ b/src/services/upstreams/connection_pool.cpp
@@ -52,4 +52,12 @@
     }
 }
 
+auto connection_pool::retain(const std::set<std::string>& addresses) -> void
+{
+    const auto guard = std::lock_guard(this->mutex);
+    std::erase_if(this->idle, [&addresses](const auto& entry) {
+        return !addresses.contains(entry.first);
+    });
+}
+
 } // namespace almondtiller::services
--- a/src/services/upstreams/connection_pool.h
+++ b/src/services/upstreams/connection_pool.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
     auto give_back(const std::string& address,
                    std::unique_ptr<httplib::Client> client) -> void;
 
+    /// Closes the kept connections to all other addresses.
+    auto retain(const std::set<std::string>& addresses) -> void;
+
 private:
     std::mutex mutex;
     std::map<std::string, std::vector<std::unique_ptr<httplib::Client>>> idle;
--- a/src/services/upstreams/upstreams_service.cpp
+++ b/src/services/upstreams/upstreams_service.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace almondtiller::services {
@@ -131,8 +132,10 @@
     if (start >= order.work.deadline || address.empty()) {
         result.end = routing::attempt_end::cancelled;
         queue.finish(result);
-        return routing::refusal{
-            order.work.id, routing::routing_errc::deadline_passed, {}};
+        const auto reason = address.empty()
+                                ? routing::routing_errc::no_upstream
+                                : routing::routing_errc::deadline_passed;
+        return routing::refusal{order.work.id, reason, {}};
     }
     auto deadline = std::min(order.work.deadline, sent.finish_by);
     if (order.timeout) {
@@ -254,6 +257,11 @@
             this->instances.emplace(id, listed);
         }
     }
+    auto addresses = std::set<std::string>();
+    for (const auto& listed : this->directory->upstreams()) {
+        addresses.insert(listed.address);
+    }
+    this->caller->retain(addresses);
     for (const auto& [name, settings] : snapshot->pools) {
         this->update_pool(settings, members[name]);
     }
