--- a/tests/fakes/standin/answers.h
+++ b/tests/fakes/standin/answers.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace almondtiller::standin {
@@ -20,6 +21,9 @@
     /// Hash of the input and the request's id: what an answer is made from.
     std::string digest;
     std::string prefix_hash;
+    /// The number of tokens that the input asks for, if it does; passed on in
+    /// the output, so that a later stage of a pipeline sees it too.
+    std::optional<std::uint32_t> wanted_tokens;
     /// JSON text of every distinct member "marker" found in the input.
     std::string markers;
 };
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -5,6 +5,7 @@
 /// and crossed work from the stand-ins' journals. Tests and benches only.
 
 #include "harness/caller.h"
+#include "harness/client.h"
 #include "harness/cluster.h"
 #include "harness/journal_check.h"
 #include "harness/process.h"
