--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -5,4 +5,5 @@
 
 #include "load/open_loop.h"
 #include "load/report.h"
+#include "load/traffic.h"
 #include "load/upstream_call.h"
