--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -1,6 +1,7 @@
 #include "harness/process.h"
 
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
 
 #include <csignal>
 #include <cstdio>
@@ -9,6 +10,7 @@
 #include <sstream>
 #include <utility>
 
+#include <sys/prctl.h>
 #include <unistd.h>
 
 namespace almondtiller::harness {
@@ -45,10 +47,13 @@
     this->data->output = std::move(output);
     // The library appends to a file that is there already.
     std::remove(this->data->output.c_str());
-    this->data->child =
-        bp::child(bp::exe = program_folder() + "/" + program, bp::args = args,
-                  (bp::std_out & bp::std_err) > this->data->output,
-                  bp::std_in < bp::null);
+    this->data->child = bp::child(
+        bp::exe = program_folder() + "/" + program, bp::args = args,
+        (bp::std_out & bp::std_err) > this->data->output, bp::std_in < bp::null,
+        bp::extend::on_exec_setup = [](auto& /*setup*/) {
+            // Not even a killed test leaves processes behind.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        });
 }
 
 process::~process()
