Let a probe end before the next one of the same member starts

Cause: in a small fleet a member is probed each round; the new probe discarded the relays' results of the one before, so that a paused node was not suspected until a round went elsewhere. Change: no second probe of a member while one is open. Conclusion: slow_results_still_lead_to_suspicion fails without the change and passes with it.

--- a/src/libs/fleet/membership.cpp
+++ b/src/libs/fleet/membership.cpp
@@ -42,7 +42,8 @@
     this->end_suspicions(now);
     ++this->rounds;
     auto orders = std::vector<probe_order>();
-    if (const auto target = this->next_target()) {
+    const auto target = this->next_target();
+    if (target && !this->has_open_probe(target->id)) {
         const auto number = this->next_probe++;
         this->probes[target->id] = {number, 0, false};
         orders.push_back({number, std::nullopt, *target});
@@ -213,6 +214,14 @@
     this->merge(doubted, now);
 }
 
+/// A second probe would discard the results of the first, which come later
+/// than the next round when relays are asked.
+auto membership::has_open_probe(const core::node_id& id) const -> bool
+{
+    const auto found = this->probes.find(id);
+    return found != this->probes.end() && !found->second.ended;
+}
+
 auto membership::next_target() -> std::optional<member>
 {
     const auto members = this->others();
--- a/src/libs/fleet/membership.h
+++ b/src/libs/fleet/membership.h
@@ -94,6 +94,7 @@
     auto shift_deadlines(core::time_point now) -> void;
     auto end_suspicions(core::time_point now) -> void;
     auto suspect(const core::node_id& id, core::time_point now) -> void;
+    [[nodiscard]] auto has_open_probe(const core::node_id& id) const -> bool;
     auto next_target() -> std::optional<member>;
     auto next_contacts() -> std::vector<member>;
     auto choose_relays(const member& target) -> std::vector<member>;
--- a/tests/unit/fleet/membership_test.cpp
+++ b/tests/unit/fleet/membership_test.cpp
@@ -216,6 +216,33 @@
     EXPECT_EQ(fleet.state_at(0, 2), member_state::leaving);
 }
 
+/// The result of a relay comes after the next round has begun.
+TEST(membership_test, slow_results_still_lead_to_suspicion)
+{
+    auto node = membership(named(0), {}, 1);
+    auto now = core::time_point() + std::chrono::hours(1);
+    auto others = gossip_message();
+    others.updates = {named(3), named(1)};
+    node.on_ack(others, now);
+    const auto is_suspect = [&node] {
+        return node.table().find(named(3).id)->state == member_state::suspect;
+    };
+    auto late = std::vector<probe_order>();
+    for (auto round = 0; round < 3 && !is_suspect(); ++round) {
+        now += std::chrono::milliseconds(500);
+        const auto orders = node.tick(now);
+        for (const auto& order : std::exchange(late, {})) {
+            node.on_probe_result(order, false, now);
+        }
+        for (const auto& order : orders) {
+            const auto answered = order.target.id != named(3).id;
+            const auto more = node.on_probe_result(order, answered, now);
+            late.insert(late.end(), more.begin(), more.end());
+        }
+    }
+    EXPECT_TRUE(is_suspect());
+}
+
 TEST(membership_test, messages_are_bounded_at_420_nodes)
 {
     auto self = named(0);
