--- a/tests/fault/input/raw_connection.cpp
+++ b/tests/fault/input/raw_connection.cpp
@@ -26,7 +26,9 @@
     ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &peer.sin_addr);
     const auto limit = timeval{read_timeout_seconds, 0};
     ::setsockopt(this->socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-    ::connect(this->socket, reinterpret_cast<sockaddr*>(&peer), sizeof(peer));
+    // A failure shows in the first send.
+    static_cast<void>(::connect(
+        this->socket, reinterpret_cast<sockaddr*>(&peer), sizeof(peer)));
 }
 
 raw_connection::~raw_connection()
