Find duplicate keys without the parser's callback

Cause: nlohmann/json's callback parser searches the parent object at the end of each child, so that reading n workspaces from one file took time in n^2.

Change: a second pass with a SAX handler finds keys that stand twice; a test bounds the reading of 49,000 workspaces.

--- a/src/libs/settings/declaration_files.cpp
+++ b/src/libs/settings/declaration_files.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iterator>
-#include <set>
+#include <unordered_set>
 
 namespace almondtiller::settings {
 
@@ -33,30 +33,76 @@
     return files;
 }
 
-/// Collects the keys that stand twice in one object while a text is parsed.
-class duplicate_key_finder
+/// Collects the keys that stand twice in one object. The parser's callback
+/// is no way to do this: it searches the parent at the end of each object.
+class duplicate_key_finder : public nlohmann::json_sax<json>
 {
 public:
-    auto operator()(int depth, json::parse_event_t event, json& parsed) -> bool
-    {
-        if (event == json::parse_event_t::object_start) {
-            this->keys.emplace_back();
-        } else if (event == json::parse_event_t::object_end) {
-            this->keys.pop_back();
-        } else if (event == json::parse_event_t::key) {
-            const auto& key = parsed.get_ref<const std::string&>();
-            if (!this->keys.back().insert(key).second) {
-                this->duplicates.push_back(key);
-            }
+    auto null() -> bool override
+    {
+        return true;
+    }
+    auto boolean(bool /*value*/) -> bool override
+    {
+        return true;
+    }
+    auto number_integer(number_integer_t /*value*/) -> bool override
+    {
+        return true;
+    }
+    auto number_unsigned(number_unsigned_t /*value*/) -> bool override
+    {
+        return true;
+    }
+    auto number_float(number_float_t /*value*/, const string_t& /*text*/)
+        -> bool override
+    {
+        return true;
+    }
+    auto string(string_t& /*value*/) -> bool override
+    {
+        return true;
+    }
+    auto binary(binary_t& /*value*/) -> bool override
+    {
+        return true;
+    }
+    auto start_object(std::size_t /*size*/) -> bool override
+    {
+        this->keys.emplace_back();
+        return true;
+    }
+    auto key(string_t& key) -> bool override
+    {
+        if (!this->keys.back().insert(key).second) {
+            this->duplicates.push_back(key);
         }
-        static_cast<void>(depth);
         return true;
     }
+    auto end_object() -> bool override
+    {
+        this->keys.pop_back();
+        return true;
+    }
+    auto start_array(std::size_t /*size*/) -> bool override
+    {
+        return true;
+    }
+    auto end_array() -> bool override
+    {
+        return true;
+    }
+    auto parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                     const nlohmann::detail::exception& /*error*/)
+        -> bool override
+    {
+        return false;
+    }
 
     std::vector<std::string> duplicates;
 
 private:
-    std::vector<std::set<std::string>> keys;
+    std::vector<std::unordered_set<std::string>> keys;
 };
 
 /// Merges documents and remembers where each declaration came from.
@@ -92,16 +138,17 @@
 private:
     auto add_text(const std::string& file, const std::string& text) -> void
     {
-        auto finder = duplicate_key_finder();
         auto document = json();
         try {
-            document = json::parse(text, std::ref(finder));
+            document = json::parse(text);
         } catch (const json::parse_error& error) {
             this->report(settings_errc::malformed_json, file, "",
                          "a syntax error at byte " + std::to_string(error.byte),
                          "JSON");
             return;
         }
+        auto finder = duplicate_key_finder();
+        static_cast<void>(json::sax_parse(text, &finder));
         for (const auto& key : finder.duplicates) {
             this->report(settings_errc::duplicate_declaration, file, key,
                          "two members of that name in one object", "one");
--- a/tests/unit/settings/declaration_files_test.cpp
+++ b/tests/unit/settings/declaration_files_test.cpp
@@ -104,6 +104,22 @@
     EXPECT_EQ(load_tree(directory.path / "none.json").findings.size(), 1U);
 }
 
+TEST(load_tree, reads_a_file_of_49000_workspaces_within_two_seconds)
+{
+    const auto directory = scratch_directory();
+    auto document = nlohmann::json();
+    for (auto i = 0; i < 49'000; ++i) {
+        document["workspaces"]["workspace-" + std::to_string(i)] = {
+            {"weight", 1 + i % 8}};
+    }
+    directory.write("a.json", document.dump());
+    const auto clock = core::runtime_clock();
+    const auto begin = clock.now();
+    const auto loaded = load_tree(directory.path);
+    EXPECT_LT(clock.now() - begin, std::chrono::seconds(2));
+    EXPECT_EQ(loaded.tree.document()["workspaces"].size(), 49'000U);
+}
+
 TEST(examples, are_valid)
 {
     const auto* source = std::getenv("ALMONDTILLER_SOURCE");
