--- a/src/apps/almondtiller/compose.cpp
+++ b/src/apps/almondtiller/compose.cpp
@@ -11,10 +11,15 @@
 #include "services/http/http_service.h"
 #include "services/leave/leave_service.h"
 #include "services/node/node_service.h"
+#include "services/operator_api/operator_api_service.h"
 #include "services/orders/orders_service.h"
 #include "services/peers/peers_service.h"
+#include "services/state_log/state_log_service.h"
 #include "services/upstreams/upstreams_service.h"
 
+#include <unistd.h>
+
+#include <csignal>
 #include <memory>
 #include <vector>
 
@@ -22,6 +27,12 @@
 
 namespace {
 
+/// A drain by request is the same as SIGTERM, which main waits for.
+auto begin_drain() -> void
+{
+    kill(getpid(), SIGTERM);
+}
+
 auto make_services(const node_options& options)
     -> std::vector<std::unique_ptr<kernel::service>>
 {
@@ -50,6 +61,9 @@
     made.push_back(std::make_unique<services::endpoints_service>());
     made.push_back(std::make_unique<services::leave_service>());
     made.push_back(std::make_unique<services::orders_service>());
+    made.push_back(
+        std::make_unique<services::operator_api_service>(begin_drain));
+    made.push_back(std::make_unique<services::state_log_service>());
     return made;
 }
 
--- a/src/apps/almondtiller/main.cpp
+++ b/src/apps/almondtiller/main.cpp
@@ -1,5 +1,6 @@
 #include "compose.h"
 #include "core/errc.h"
+#include "logging/logging.h"
 #include "services/http/http_service.h"
 
 #include <pthread.h>
@@ -25,6 +26,9 @@
 {
     using namespace almondtiller;
     const auto signals = block_end_signals();
+    logging::set_up(options.log_format == "json" ? logging::log_format::json
+                                                 : logging::log_format::text,
+                    std::cerr);
     auto kernel = kernel::service_kernel();
     auto error = compose(kernel, options);
     if (!error) {
--- a/src/apps/tillerctl/read_commands.cpp
+++ b/src/apps/tillerctl/read_commands.cpp
@@ -6,6 +6,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <ctime>
+#include <sstream>
+
 namespace almondtiller::tillerctl {
 
 namespace {
@@ -26,6 +30,20 @@
     return found;
 }
 
+/// \return The time of the day in UTC, in ISO 8601.
+auto time_text(std::int64_t since_epoch_ms) -> std::string
+{
+    constexpr auto second_ms = 1000;
+    constexpr auto text_size = std::size_t(32);
+    const auto seconds = std::time_t(since_epoch_ms / second_ms);
+    auto parts = std::tm();
+    gmtime_r(&seconds, &parts);
+    auto text = std::array<char, text_size>();
+    const auto length =
+        std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return {text.data(), length};
+}
+
 /// A zone's state may have been changed since it was declared.
 auto with_zone_state(settings::explanation explained,
                      const fleet::stored_config& stored)
@@ -120,9 +138,9 @@
                         {"who", change.who},
                         {"what", change.what}});
         if (call.output == output_format::table) {
-            io.out << change.revision << "  " << change.when_ms << "  "
-                   << change.who << "  " << change.what << "  " << change.id
-                   << '\n';
+            io.out << change.revision << "  " << time_text(change.when_ms)
+                   << "  " << change.who << "  " << change.what << "  "
+                   << change.id << '\n';
         }
     }
     if (call.output == output_format::json) {
--- a/src/apps/tillerctl/status_table.cpp
+++ b/src/apps/tillerctl/status_table.cpp
@@ -102,6 +102,9 @@
         }
         pipeline.erase("stages");
     }
+    if (pipelines.empty()) {
+        out << "no requests since the start of the node\n";
+    }
     print_list("pipelines", pipelines, out);
     print_list("stages", stages, out);
 }
