Record every head in the store and wait for servers in tests

Cause: two tests failed on a busy machine. racing_operators took its history from samples of the newest 64 changes and missed some when more than 64 went by between two samples. fake_upstream stopped a server whose thread had not begun to listen, which httplib ignores, and then waited for ever (stack of the hung services_test: ~fake_upstream in join).

Change: the fake store calls a hook with each write that takes effect, and the history is made from all of them, which is as strict and misses none. The fake waits until the server runs before it stops it.

Conclusion: both were faults of the tests, not of the code.

--- a/tests/unit/fleet/fake_object_store.cpp
+++ b/tests/unit/fleet/fake_object_store.cpp
@@ -120,6 +120,7 @@
     }
     ++this->revision;
     this->objects[key] = {key, this->revision, value};
+    this->on_write(this->objects[key]);
     return this->revision;
 }
 
--- a/tests/unit/fleet/fake_object_store.h
+++ b/tests/unit/fleet/fake_object_store.h
@@ -42,6 +42,11 @@
     /// Makes the writes that were held back.
     auto deliver_delayed() -> void;
 
+    /// Called with the value of each write that takes effect.
+    std::function<void(const platform::object& written)> on_write =
+        [](const auto&) {
+        };
+
     /// Decides what happens to a write of the head; called before it.
     std::function<write_fate()> head_fate = [] {
         return write_fate::answered;
--- a/tests/unit/fleet/fleet_nodes_test.cpp
+++ b/tests/unit/fleet/fleet_nodes_test.cpp
@@ -1,5 +1,6 @@
 #include "shared_store.h"
 
+#include "fleet/config_head.h"
 #include "fleet/config_publisher.h"
 #include "fleet/config_source.h"
 #include "kernel/kernel.h"
@@ -168,6 +169,18 @@
         };
     }
     auto history = std::map<std::string, std::uint64_t>();
+    {
+        const auto guard = std::lock_guard(this->objects.mutex);
+        this->objects.store.on_write = [&history](const auto& written) {
+            if (written.key.kind != config_kind) {
+                return;
+            }
+            const auto head = decode_head(written.value).value();
+            for (const auto& change : head.changes) {
+                history[change.id] = change.revision;
+            }
+        };
+    }
     auto outcomes = std::vector<std::vector<change_outcome>>(operators);
     auto threads = std::vector<std::thread>();
     for (auto number = 0; number < operators; ++number) {
@@ -183,23 +196,14 @@
             }
         });
     }
-    auto is_done = std::atomic<bool>(false);
-    auto recorder = std::thread([&] {
-        while (!is_done) {
-            const auto stored = this->publisher.current();
-            for (const auto& change : stored.value().changes) {
-                history[change.id] = change.revision;
-            }
-        }
-    });
     for (auto& thread : threads) {
         thread.join();
     }
-    is_done = true;
-    recorder.join();
     const auto last = this->publisher.current().value();
-    for (const auto& change : last.changes) {
-        history[change.id] = change.revision;
+    {
+        const auto guard = std::lock_guard(this->objects.mutex);
+        this->objects.store.on_write = [](const auto&) {
+        };
     }
     auto applied = std::uint64_t(0);
     for (const auto& list : outcomes) {
--- a/tests/unit/services/fake_upstream.cpp
+++ b/tests/unit/services/fake_upstream.cpp
@@ -62,6 +62,10 @@
 
 fake_upstream::~fake_upstream()
 {
+    // stop() has no effect on a server whose thread has not got to listening.
+    while (!this->data->server.is_running()) {
+        std::this_thread::yield();
+    }
     this->data->server.stop();
     this->data->thread.join();
 }
