Keep the traffic of fault tests alive while its records are read

What they had checked before was not reliable.

Change: the tests hold the traffic. No check was changed.

Conclusion: a fault of the tests. Their checks now run on the real records, and hold.

--- a/tests/fault/upstream/broken_upstream_test.cpp
+++ b/tests/fault/upstream/broken_upstream_test.cpp
@@ -66,7 +66,8 @@
 {
     set_pool_fault(this->cluster, "engines",
                    R"({"mode":"cut","probability":0.02})");
-    const auto& records = this->start(chats(40), 20.0)->finish();
+    const auto traffic = this->start(chats(40), 20.0);
+    const auto& records = traffic->finish();
     this->expect_sound(records);
     EXPECT_GE(load::attainment(records), enough_attainment)
         << load::describe(records);
@@ -83,7 +84,8 @@
 {
     set_pool_fault(this->cluster, "lookups",
                    R"({"mode":"mismatch","probability":0.1})");
-    const auto& records = this->start(lookups(), 100.0)->finish();
+    const auto traffic = this->start(lookups(), 100.0);
+    const auto& records = traffic->finish();
     this->expect_sound(records);
     EXPECT_GE(load::attainment(records), enough_attainment)
         << load::describe(records);
@@ -93,7 +95,8 @@
 {
     harness::http_call(this->cluster.pool("lookups").front()->admin_address,
                        "/admin/fault", R"({"mode":"fail"})");
-    const auto& records = this->start(lookups(), 100.0)->finish();
+    const auto traffic = this->start(lookups(), 100.0);
+    const auto& records = traffic->finish();
     this->expect_sound(records);
     EXPECT_GE(load::attainment(records), enough_attainment)
         << load::describe(records);
@@ -103,9 +106,9 @@
 {
     set_pool_fault(this->cluster, "desk",
                    R"({"mode":"cut","probability":0.3})");
-    const auto& records =
-        this->start({{"confirm", confirm_request("key"), false, 1.0}})
-            ->finish();
+    const auto traffic =
+        this->start({{"confirm", confirm_request("key"), false, 1.0}});
+    const auto& records = traffic->finish();
     this->expect_sound(records);
     EXPECT_GT(load::count(records, harness::call_outcome::complete), 0U)
         << load::describe(records);
