Tell all nodes the first sign of a cold upstream

Cause: a cold upstream got more than it bears. Each node learned of a cold start from its own answers and load reports only; other nodes dispatched as to a warm upstream 80 and 121 ms after the first cold answer. A refused connection was no sign at all, so that a restarted upstream was sent to as warm by nodes that had not yet heard its new incarnation.

Change: the scheduler gives out the upstreams that turned cold by its own observation; cold_starts tells every node at once (topic cold-signs), and a node that is told treats the upstream as cold for the same reason without telling it on. A connection that is not accepted turns the upstream cold.

--- a/src/libs/routing/pool_scheduler.cpp
+++ b/src/libs/routing/pool_scheduler.cpp
@@ -134,6 +134,19 @@
     return this->data->drain();
 }
 
+auto pool_scheduler::note_cold_sign(const cold_sign& sign, core::time_point now)
+    -> actions
+{
+    this->data->now = now;
+    this->data->upstreams.on_sign(sign, now);
+    return this->data->drain();
+}
+
+auto pool_scheduler::take_cold_signs() -> std::vector<cold_sign>
+{
+    return this->data->upstreams.take_signs();
+}
+
 auto pool_scheduler::advance(core::time_point now) -> actions
 {
     this->data->now = now;
--- a/src/libs/routing/pool_scheduler.h
+++ b/src/libs/routing/pool_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/cold_sign.h"
 #include "routing/cold_slots.h"
 #include "routing/work.h"
 #include "settings/effective.h"
@@ -49,6 +50,13 @@
                          core::duration retry_after, core::time_point now)
         -> actions;
 
+    /// Takes over that another node saw an upstream turn cold.
+    auto note_cold_sign(const cold_sign& sign, core::time_point now) -> actions;
+
+    /// \return The upstreams that turned cold by what this node saw since the
+    ///         last call; for its peers.
+    [[nodiscard]] auto take_cold_signs() -> std::vector<cold_sign>;
+
     /// Handles everything that time alone brings: expired work and grants.
     auto advance(core::time_point now) -> actions;
 
--- a/src/libs/routing/upstream_table.cpp
+++ b/src/libs/routing/upstream_table.cpp
@@ -188,6 +188,7 @@
     const auto was_cold = of->temperature.is_cold(now);
     const auto before = of->temperature.incarnation();
     of->temperature.observe(result, now);
+    this->note_change(*of, was_cold, now);
     if (!before.empty() && of->temperature.incarnation() != before) {
         this->forget_incarnation(*of);
     } else {
@@ -195,7 +196,6 @@
     }
     of->in_flight -= of->in_flight > 0 ? 1 : 0;
     this->cached.in_flight -= this->cached.in_flight > 0 ? 1 : 0;
-    this->stale = this->stale || was_cold != of->temperature.is_cold(now);
 }
 
 auto upstream_table::judge(entry& judged, const attempt_result& result,
@@ -248,6 +248,7 @@
     const auto was_cold = of->temperature.is_cold(now);
     const auto before = of->temperature.incarnation();
     of->temperature.observe(report, now);
+    this->note_change(*of, was_cold, now);
     if (!before.empty() && of->temperature.incarnation() != before) {
         this->forget_incarnation(*of);
     }
@@ -256,7 +257,38 @@
         std::max(double(report.in_flight) + double(report.queued) - own, 0.0);
     of->reported_capacity = double(report.capacity);
     of->sampled = std::max(of->sampled, now - report.age);
-    this->stale = this->stale || was_cold != of->temperature.is_cold(now);
+}
+
+auto upstream_table::note_change(const entry& changed, bool was_cold,
+                                 core::time_point now) -> void
+{
+    const auto is_cold = changed.temperature.is_cold(now);
+    this->stale = this->stale || was_cold != is_cold;
+    if (is_cold && !was_cold) {
+        this->signs.push_back({changed.member.id,
+                               changed.temperature.incarnation(),
+                               changed.temperature.reason(now)});
+    }
+}
+
+auto upstream_table::on_sign(const cold_sign& sign, core::time_point now)
+    -> void
+{
+    auto* of = this->find(sign.id);
+    if (of == nullptr) {
+        return;
+    }
+    const auto before = of->temperature.incarnation();
+    of->temperature.observe(sign, now);
+    if (!before.empty() && of->temperature.incarnation() != before) {
+        this->forget_incarnation(*of);
+    }
+    this->stale = true;
+}
+
+auto upstream_table::take_signs() -> std::vector<cold_sign>
+{
+    return std::exchange(this->signs, {});
 }
 
 auto upstream_table::on_cache_hint(const cache_hint& hint) -> void
--- a/src/libs/routing/upstream_table.h
+++ b/src/libs/routing/upstream_table.h
@@ -48,6 +48,11 @@
     auto on_finish(const attempt_result& result, core::duration median,
                    core::time_point now) -> void;
     auto on_report(const load_report& report, core::time_point now) -> void;
+    auto on_sign(const cold_sign& sign, core::time_point now) -> void;
+
+    /// \return The upstreams that turned cold by this node's own
+    ///         observations since the last call.
+    [[nodiscard]] auto take_signs() -> std::vector<cold_sign>;
     auto on_cache_hint(const cache_hint& hint) -> void;
     auto on_grant(const cold_grant& grant) -> void;
 
@@ -96,6 +101,8 @@
     [[nodiscard]] auto summarize(core::time_point now) const -> totals;
     auto judge(entry& judged, const attempt_result& result,
                core::duration median, core::time_point now) -> void;
+    auto note_change(const entry& changed, bool was_cold, core::time_point now)
+        -> void;
     auto forget_incarnation(entry& restarted) -> void;
     [[nodiscard]] auto may_eject() const -> bool;
     auto find(const core::upstream_id& id) -> entry*;
@@ -106,6 +113,7 @@
     upstream_picker picker;
     std::unordered_map<core::upstream_id, std::unique_ptr<entry>> entries;
     std::vector<entry*> active;
+    std::vector<cold_sign> signs;
     mutable totals cached;
     mutable core::time_point cached_at = core::time_point::min();
     mutable bool stale = true;
--- a/src/libs/routing/upstream_temperature.cpp
+++ b/src/libs/routing/upstream_temperature.cpp
@@ -94,7 +94,8 @@
     }
     const auto trusts_report = this->why == cold_reason::not_seen_before ||
                                this->why == cold_reason::silence ||
-                               this->why == cold_reason::reported;
+                               this->why == cold_reason::reported ||
+                               this->why == cold_reason::unreachable;
     if (this->cold && trusts_report && !report.incarnation.empty() &&
         report.age <= oldest_evidence && sampled > this->changed) {
         this->turn_warm(now);
@@ -117,11 +118,22 @@
     }
     if (result.end == attempt_end::succeeded) {
         this->observe_completion(result, now);
+    } else if (result.end == attempt_end::not_sent && !this->cold) {
+        this->turn_cold(cold_reason::unreachable, now);
     } else if (result.end == attempt_end::timed_out && !this->cold) {
         this->observe_slowness(now);
     }
 }
 
+auto upstream_temperature::observe(const cold_sign& sign, core::time_point now)
+    -> void
+{
+    this->settle_silence(now);
+    if (this->adopt_incarnation(sign.incarnation, now) && !this->cold) {
+        this->turn_cold(sign.why, now);
+    }
+}
+
 auto upstream_temperature::observe_completion(const attempt_result& result,
                                               core::time_point now) -> void
 {
--- a/src/libs/routing/upstream_temperature.h
+++ b/src/libs/routing/upstream_temperature.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/cold_sign.h"
 #include "routing/work.h"
 #include "settings/effective.h"
 
@@ -9,16 +10,6 @@
 
 namespace almondtiller::routing {
 
-/// What made an upstream count as cold.
-enum class cold_reason
-{
-    not_seen_before,
-    new_incarnation,
-    silence,
-    reported,
-    slow_answers,
-};
-
 /// Decides whether one upstream is cold, and how much a warm one may get
 /// while it ramps up. An upstream starts cold and turns cold at the first
 /// sign; it turns warm on proven completions or, unless it restarted or was
@@ -42,6 +33,9 @@
     auto observe(const load_report& report, core::time_point now) -> void;
     auto observe(const attempt_result& result, core::time_point now) -> void;
 
+    /// Takes over what another node has seen.
+    auto observe(const cold_sign& sign, core::time_point now) -> void;
+
     [[nodiscard]] auto is_cold(core::time_point now) const -> bool;
     [[nodiscard]] auto reason(core::time_point now) const -> cold_reason;
 
--- a/src/services/cold_starts/cold_messages.cpp
+++ b/src/services/cold_starts/cold_messages.cpp
@@ -28,6 +28,29 @@
 
 } // namespace
 
+auto encode(const cold_sign_message& message) -> std::string
+{
+    return to_cbor({{"pool", message.pool.str()},
+                    {"id", message.sign.id.str()},
+                    {"incarnation", message.sign.incarnation},
+                    {"why", int(message.sign.why)}});
+}
+
+auto decode_cold_sign(const std::string& body)
+    -> core::result<cold_sign_message>
+{
+    try {
+        const auto value = from_cbor(body);
+        return cold_sign_message{
+            core::pool_name(value.at("pool").get<std::string>()),
+            {core::upstream_id(value.at("id").get<std::string>()),
+             value.at("incarnation").get<std::string>(),
+             routing::cold_reason(value.at("why").get<int>())}};
+    } catch (const json::exception&) {
+        return make_error_code(fleet::fleet_errc::malformed_message);
+    }
+}
+
 auto encode(const routing::cold_ask& ask) -> std::string
 {
     return to_cbor({{"id", ask.id.str()},
--- a/src/services/cold_starts/cold_messages.h
+++ b/src/services/cold_starts/cold_messages.h
@@ -1,12 +1,26 @@
 #pragma once
 
 #include "core/result.h"
+#include "routing/cold_sign.h"
 #include "routing/cold_slots.h"
 
 #include <string>
 
 namespace almondtiller::services {
 
+/// What the peer topic "cold-signs" carries.
+struct cold_sign_message
+{
+    core::pool_name pool;
+    routing::cold_sign sign;
+
+    auto operator==(const cold_sign_message&) const -> bool = default;
+};
+
+[[nodiscard]] auto encode(const cold_sign_message& message) -> std::string;
+[[nodiscard]] auto decode_cold_sign(const std::string& body)
+    -> core::result<cold_sign_message>;
+
 /// Codecs of the peer topic "cold-slots", in CBOR. Durations are counted in
 /// milliseconds. Malformed input gives fleet_errc::malformed_message.
 [[nodiscard]] auto encode(const routing::cold_ask& ask) -> std::string;
--- a/src/services/cold_starts/cold_starts_service.h
+++ b/src/services/cold_starts/cold_starts_service.h
@@ -6,6 +6,7 @@
 #include "kernel/service.h"
 #include "routing/cold_client.h"
 #include "routing/cold_steward.h"
+#include "services/cold_starts/cold_messages.h"
 #include "services/upstreams/pool_access.h"
 
 #include <cstdint>
@@ -25,6 +26,7 @@
 /// The name of the service, and of its peer topic.
 constexpr auto cold_starts_service_name = "cold_starts";
 constexpr auto cold_slots_topic = "cold-slots";
+constexpr auto cold_signs_topic = "cold-signs";
 
 /// Carries cold_steward and cold_client between this node's pools and its
 /// peers. Thread-safe: one mutex guards both machines, so that what a node
@@ -50,6 +52,8 @@
         -> core::result<std::string>;
     auto on_reply(const routing::cold_client::request& sent,
                   const core::result<std::string>& reply) -> void;
+    auto on_sign(const std::string& body) -> core::result<std::string>;
+    auto spread(const cold_sign_message& message) -> void;
     auto apply(const routing::cold_client::outcome& outcome) -> void;
     auto decide(const core::node_id& holder, const routing::cold_ask& ask)
         -> routing::cold_offer;
--- a/src/services/upstreams/pool_access.h
+++ b/src/services/upstreams/pool_access.h
@@ -3,6 +3,7 @@
 #include "routing/pool_scheduler.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -16,6 +17,10 @@
     /// How many attempts of one pool could use slots of which cold upstream.
     using demand = std::map<core::upstream_id, std::uint32_t>;
 
+    /// Called with each upstream that this node saw turn cold; on any thread.
+    using cold_sign_handler = std::function<void(
+        const core::pool_name& pool, const routing::cold_sign& sign)>;
+
     pool_access() = default;
     virtual ~pool_access() = default;
     pool_access(const pool_access&) = delete;
@@ -37,6 +42,14 @@
     virtual auto grant_cold_slots(const core::pool_name& pool,
                                   const routing::cold_grant& grant) -> void = 0;
 
+    /// Sets the handler; before requests are served.
+    virtual auto on_cold_sign(cold_sign_handler handler) -> void = 0;
+
+    /// Passes on that another node saw an upstream turn cold; ignored for
+    /// unknown pools.
+    virtual auto note_cold_sign(const core::pool_name& pool,
+                                const routing::cold_sign& sign) -> void = 0;
+
     /// Tells the pool's scheduler that there will be no slots of an upstream
     /// for \a retry_after; ignored for unknown pools.
     virtual auto deny_cold_slots(const core::pool_name& pool,
--- a/src/services/upstreams/pool_queue.cpp
+++ b/src/services/upstreams/pool_queue.cpp
@@ -24,8 +24,11 @@
 
 pool_queue::pool_queue(const core::runtime_clock& clock,
                        const settings::pool_settings& settings,
-                       const core::zone_name& local_zone, std::uint64_t seed)
-    : clock(clock), scheduler(settings, local_zone, seed)
+                       const core::zone_name& local_zone, std::uint64_t seed,
+                       sign_handler on_sign)
+    : clock(clock),
+      on_sign(std::move(on_sign)),
+      scheduler(settings, local_zone, seed)
 {}
 
 auto pool_queue::configure(const settings::pool_settings& settings) -> void
@@ -69,15 +72,39 @@
 }
 
 auto pool_queue::finish(const routing::attempt_result& result) -> void
+{
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        this->apply(this->scheduler.finish(result, this->clock.now()));
+    }
+    this->report_signs();
+}
+
+auto pool_queue::report_signs() -> void
+{
+    auto signs = std::vector<routing::cold_sign>();
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        signs = this->scheduler.take_cold_signs();
+    }
+    for (const auto& sign : signs) {
+        this->on_sign(sign);
+    }
+}
+
+auto pool_queue::note_cold_sign(const routing::cold_sign& sign) -> void
 {
     const auto guard = std::lock_guard(this->mutex);
-    this->apply(this->scheduler.finish(result, this->clock.now()));
+    this->apply(this->scheduler.note_cold_sign(sign, this->clock.now()));
 }
 
 auto pool_queue::report_load(const routing::load_report& report) -> void
 {
-    const auto guard = std::lock_guard(this->mutex);
-    this->apply(this->scheduler.report_load(report, this->clock.now()));
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        this->apply(this->scheduler.report_load(report, this->clock.now()));
+    }
+    this->report_signs();
 }
 
 auto pool_queue::grant_cold_slots(const routing::cold_grant& grant) -> void
--- a/src/services/upstreams/upstreams_service.cpp
+++ b/src/services/upstreams/upstreams_service.cpp
@@ -214,6 +214,33 @@
                  : std::vector<routing::cold_upstream>();
 }
 
+auto upstreams_service::on_cold_sign(cold_sign_handler handler) -> void
+{
+    const auto guard = std::unique_lock(this->mutex);
+    this->sign_handler = std::move(handler);
+}
+
+auto upstreams_service::note_cold_sign(const core::pool_name& pool,
+                                       const routing::cold_sign& sign) -> void
+{
+    if (const auto queue = this->find(pool)) {
+        queue->note_cold_sign(sign);
+    }
+}
+
+auto upstreams_service::report_sign(const core::pool_name& pool,
+                                    const routing::cold_sign& sign) -> void
+{
+    auto handler = cold_sign_handler();
+    {
+        const auto guard = std::shared_lock(this->mutex);
+        handler = this->sign_handler;
+    }
+    if (handler) {
+        handler(pool, sign);
+    }
+}
+
 auto upstreams_service::deny_cold_slots(const core::pool_name& pool,
                                         const core::upstream_id& id,
                                         core::duration retry_after) -> void
@@ -276,7 +303,10 @@
         queue->configure(settings);
     } else {
         queue = std::make_shared<pool_queue>(
-            *this->clock, settings, this->local_zone, core::system_seed());
+            *this->clock, settings, this->local_zone, core::system_seed(),
+            [this, pool = settings.name](const auto& sign) {
+                this->report_sign(pool, sign);
+            });
         const auto guard = std::unique_lock(this->mutex);
         this->queues.emplace(settings.name, queue);
     }
--- a/tests/unit/cold_starts/cold_starts_test.cpp
+++ b/tests/unit/cold_starts/cold_starts_test.cpp
@@ -45,14 +45,15 @@
     {
         reply(make_error_code(fleet::fleet_errc::peer_unreachable));
     }
-    auto handle(const std::string&, request_handler handler) -> void override
+    auto handle(const std::string& topic, request_handler handler)
+        -> void override
     {
-        this->handler = std::move(handler);
+        this->handlers[topic] = std::move(handler);
     }
     auto announce_leaving() -> void override
     {}
 
-    request_handler handler;
+    std::map<std::string, request_handler> handlers;
 };
 
 class fixed_config : public kernel::service, public fleet::config_source
@@ -114,6 +115,16 @@
         const auto guard = std::lock_guard(this->mutex);
         this->slots = grant.slots;
     }
+    auto on_cold_sign(cold_sign_handler handler) -> void override
+    {
+        this->sign_handler = std::move(handler);
+    }
+    auto note_cold_sign(const core::pool_name&, const routing::cold_sign& sign)
+        -> void override
+    {
+        const auto guard = std::lock_guard(this->mutex);
+        this->noted.push_back(sign);
+    }
     auto deny_cold_slots(const core::pool_name&, const core::upstream_id&,
                          core::duration) -> void override
     {
@@ -126,6 +137,8 @@
     mutable int polls = 0;
     std::uint32_t slots = 0;
     int denials = 0;
+    cold_sign_handler sign_handler;
+    std::vector<routing::cold_sign> noted;
 };
 
 } // namespace
@@ -142,9 +155,14 @@
     offer.valid_for = core::milliseconds(1000);
     offer.retry_after = core::milliseconds(250);
     EXPECT_EQ(decode_cold_offer(encode(offer)).value(), offer);
+    const auto sign = cold_sign_message{
+        pool, {upstream, "i1", routing::cold_reason::unreachable}};
+    EXPECT_EQ(decode_cold_sign(encode(sign)).value(), sign);
     for (const auto* broken : {"", "x", "\xa0", "\xff\xff"}) {
         EXPECT_EQ(decode_cold_ask(broken).error(),
                   fleet::fleet_errc::malformed_message);
+        EXPECT_EQ(decode_cold_sign(broken).error(),
+                  fleet::fleet_errc::malformed_message);
         EXPECT_EQ(decode_cold_offer(broken).error(),
                   fleet::fleet_errc::malformed_message);
     }
@@ -175,12 +193,33 @@
     }
     EXPECT_GE(kernel.clock().now() - started, std::chrono::seconds(6));
     auto* bus = kernel.find<lonely_bus>(fleet::peers_service_name);
+    const auto& handler = bus->handlers.at(cold_slots_topic);
     const auto reply =
-        bus->handler(core::node_id("other"),
-                     encode(routing::cold_ask{upstream, pool, 1, 1, 0, 1, 0}));
+        handler(core::node_id("other"),
+                encode(routing::cold_ask{upstream, pool, 1, 1, 0, 1, 0}));
     EXPECT_EQ(decode_cold_offer(reply.value()).value().slots, 0U);
-    EXPECT_FALSE(bus->handler(core::node_id("other"), "broken").has_value());
+    EXPECT_FALSE(handler(core::node_id("other"), "broken").has_value());
+    kernel.shutdown();
+}
+
+TEST(cold_starts_service, passes_on_what_another_node_has_seen)
+{
+    auto kernel = kernel::service_kernel();
+    kernel.add(std::make_unique<lonely_bus>());
+    kernel.add(std::make_unique<fixed_config>());
+    kernel.add(std::make_unique<cold_pool>());
+    kernel.add(std::make_unique<cold_starts_service>());
+    ASSERT_FALSE(kernel.start());
+    const auto sign =
+        routing::cold_sign{upstream, "i1", routing::cold_reason::reported};
+    const auto& handler = kernel.find<lonely_bus>(fleet::peers_service_name)
+                              ->handlers.at(cold_signs_topic);
+    EXPECT_TRUE(
+        handler(core::node_id("other"), encode(cold_sign_message{pool, sign})));
+    EXPECT_FALSE(handler(core::node_id("other"), "broken"));
     kernel.shutdown();
+    EXPECT_EQ(kernel.find<cold_pool>(upstreams_service_name)->noted,
+              std::vector{sign});
 }
 
 } // namespace almondtiller::services
--- a/tests/unit/routing/upstream_temperature_test.cpp
+++ b/tests/unit/routing/upstream_temperature_test.cpp
@@ -57,6 +57,31 @@
     EXPECT_FALSE(warmed().is_cold(start_time + seconds(59)));
 }
 
+TEST(upstream_temperature, is_cold_when_another_node_or_a_connect_says_so)
+{
+    const auto later = start_time + seconds(1);
+    auto told = warmed();
+    told.observe(cold_sign{{}, "i1", cold_reason::reported}, later);
+    EXPECT_TRUE(told.is_cold(later));
+
+    auto refused = warmed();
+    auto not_sent = completion("", milliseconds(1));
+    not_sent.end = attempt_end::not_sent;
+    refused.observe(not_sent, later);
+    EXPECT_EQ(refused.reason(later), cold_reason::unreachable);
+
+    auto restarted = warmed();
+    restarted.observe(completion("i2", milliseconds(1)), later);
+    for (auto done = 0; done < 3; ++done) {
+        restarted.observe(completion("i2", milliseconds(1)),
+                          later + milliseconds(10));
+    }
+    ASSERT_FALSE(restarted.is_cold(later + milliseconds(10)));
+    restarted.observe(cold_sign{{}, "i1", cold_reason::reported},
+                      later + milliseconds(20));
+    EXPECT_FALSE(restarted.is_cold(later + milliseconds(20)));
+}
+
 TEST(upstream_temperature, is_cold_when_answers_leave_the_warm_baseline)
 {
     auto temperature = warmed();
