Run every test when no failure is known

Cause: with an empty KNOWN-RED.txt, or none, GTEST_FILTER was set to the empty text, which matches no test; ctest reported 22 programs passed in 0.04 s.

Change: the filter is "*" then.

Conclusion: seen and mended before it could hide a failure.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -57,6 +57,10 @@
     string(REPLACE ":-" ":" known_red_filter "${known_red_filter}")
     string(REGEX REPLACE "^:" "-" known_red_filter "${known_red_filter}")
 endif()
+if(NOT known_red_filter)
+    # An empty filter would run no test.
+    set(known_red_filter "*")
+endif()
 
 # almondtiller_test(<name> LINKS packages... EXTERNAL libs...)
 #
