Read the runtime's clock in connections; one JSON form of claim records

Cause: connection_stream read the operating system's clock directly, which only the runtime may. The codec of claim records stood twice, in the bucket's contents and in the messages between nodes.

Change: connections get the runtime's clock; record_json is the one codec.

Conclusion: no change of behaviour.

--- a/src/services/claims/claim_messages.cpp
+++ b/src/services/claims/claim_messages.cpp
@@ -1,5 +1,6 @@
 #include "services/claims/claim_messages.h"
 
+#include "claims/record_json.h"
 #include "fleet/fleet_errc.h"
 
 #include <nlohmann/json.hpp>
@@ -28,26 +29,6 @@
     }
 }
 
-auto to_json(const claims::claim_record& record) -> json
-{
-    return {{"c", record.claim},      {"f", record.fingerprint},
-            {"n", record.node},       {"i", record.incarnation},
-            {"s", int(record.state)}, {"t", record.claimed_at_ms},
-            {"a", record.answer},     {"o", record.answer_is_separate}};
-}
-
-auto to_record(const json& item) -> claims::claim_record
-{
-    return {item.at("c").get<std::string>(),
-            item.at("f").get<std::string>(),
-            item.at("n").get<std::string>(),
-            item.at("i").get<std::uint64_t>(),
-            claims::claim_state(item.at("s").get<int>()),
-            item.at("t").get<std::int64_t>(),
-            item.at("a").get<std::string>(),
-            item.at("o").get<bool>()};
-}
-
 } // namespace
 
 auto encode(const want_message& message) -> std::string
@@ -68,12 +49,12 @@
                  {"c", decided.claim},
                  {"e", decided.error.value()},
                  {"v", int(decided.verdict)},
-                 {"r", to_json(decided.record)}});
+                 {"r", claims::to_json(decided.record)}});
 }
 
 auto encode(const end_message& message) -> std::string
 {
-    return pack({{"k", message.key}, {"r", to_json(message.record)}});
+    return pack({{"k", message.key}, {"r", claims::to_json(message.record)}});
 }
 
 auto decode_want(const std::string& body) -> core::result<want_message>
@@ -103,7 +84,7 @@
             decided.error = claims::claims_errc(error);
         }
         decided.verdict = claims::claim_verdict(item.at("v").get<int>());
-        decided.record = to_record(item.at("r"));
+        decided.record = claims::to_record(item.at("r"));
         return message;
     });
 }
@@ -112,7 +93,7 @@
 {
     return unpack<end_message>(body, [](const json& item) {
         return end_message{item.at("k").get<std::string>(),
-                           to_record(item.at("r"))};
+                           claims::to_record(item.at("r"))};
     });
 }
 
--- a/src/services/http/connection_server.cpp
+++ b/src/services/http/connection_server.cpp
@@ -65,9 +65,11 @@
     connection_server& server;
 };
 
-connection_server::connection_server(connection_limits limits,
+connection_server::connection_server(const core::runtime_clock& clock,
+                                     connection_limits limits,
                                      event_handler on_event)
-    : limits(limits),
+    : clock(clock),
+      limits(limits),
       on_event(std::move(on_event)),
       pool(limits.max_connections),
       wake_descriptor(::eventfd(0, EFD_CLOEXEC))
@@ -148,7 +150,7 @@
 
 auto connection_server::serve(socket_t socket) -> void
 {
-    auto stream = connection_stream(socket, this->limits.write);
+    auto stream = connection_stream(this->clock, socket, this->limits.write);
     while (this->await_request(stream)) {
         stream.begin_request(this->limits.request_read);
         const auto is_last = this->draining.load();
--- a/src/services/http/connection_server.h
+++ b/src/services/http/connection_server.h
@@ -42,7 +42,8 @@
 public:
     using event_handler = std::function<void(connection_event)>;
 
-    connection_server(connection_limits limits, event_handler on_event);
+    connection_server(const core::runtime_clock& clock,
+                      connection_limits limits, event_handler on_event);
     ~connection_server() override;
 
     /// \param port 0 takes any free port.
@@ -65,6 +66,7 @@
     auto evict_idle() -> bool;
     auto accept_job(std::function<void()> job) -> void;
 
+    const core::runtime_clock& clock;
     connection_limits limits;
     event_handler on_event;
     elastic_pool pool;
--- a/src/services/http/connection_stream.cpp
+++ b/src/services/http/connection_stream.cpp
@@ -37,9 +37,10 @@
 
 } // namespace
 
-connection_stream::connection_stream(socket_t socket,
+connection_stream::connection_stream(const core::runtime_clock& clock,
+                                     socket_t socket,
                                      milliseconds write_timeout)
-    : descriptor(socket), write_timeout(write_timeout), buffer()
+    : clock(clock), descriptor(socket), write_timeout(write_timeout), buffer()
 {}
 
 auto connection_stream::wait_for_bytes(milliseconds time, int wake_descriptor)
@@ -61,7 +62,7 @@
 auto connection_stream::begin_request(milliseconds time) -> void
 {
     this->too_slow = false;
-    this->read_deadline = std::chrono::steady_clock::now() + time;
+    this->read_deadline = this->clock.now() + time;
 }
 
 auto connection_stream::was_too_slow() const -> bool
@@ -103,7 +104,7 @@
 auto connection_stream::receive(char* target, std::size_t size) -> ssize_t
 {
     const auto left = std::chrono::duration_cast<milliseconds>(
-        this->read_deadline - std::chrono::steady_clock::now());
+        this->read_deadline - this->clock.now());
     if (left.count() <= 0 || poll_one(this->descriptor, POLLIN, left) <= 0) {
         this->too_slow = true;
         return -1;
--- a/src/services/http/connection_stream.h
+++ b/src/services/http/connection_stream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/clock.h"
+
 #include <httplib.h>
 
 #include <array>
@@ -13,7 +15,8 @@
 class connection_stream : public httplib::Stream
 {
 public:
-    connection_stream(socket_t socket, std::chrono::milliseconds write_timeout);
+    connection_stream(const core::runtime_clock& clock, socket_t socket,
+                      std::chrono::milliseconds write_timeout);
 
     /// Waits until bytes arrive or \a wake_descriptor is readable.
     /// \return Whether bytes arrived.
@@ -39,9 +42,10 @@
 private:
     auto receive(char* target, std::size_t size) -> ssize_t;
 
+    const core::runtime_clock& clock;
     socket_t descriptor;
     std::chrono::milliseconds write_timeout;
-    std::chrono::steady_clock::time_point read_deadline;
+    core::time_point read_deadline;
     bool too_slow = false;
     std::array<char, 16384> buffer;
     std::size_t buffered = 0;
--- a/src/services/http/http_service.cpp
+++ b/src/services/http/http_service.cpp
@@ -113,7 +113,7 @@
     limits.keep_alive = options.keep_alive;
     limits.request_read = options.request_read;
     data.server = std::make_unique<connection_server>(
-        limits, [&data](connection_event event) {
+        kernel.clock(), limits, [&data](connection_event event) {
             data.metrics
                 ->counter_for(connections_info, {{"event", event_name(event)}})
                 .add();
--- a/tests/unit/services/request_path_test.cpp
+++ b/tests/unit/services/request_path_test.cpp
@@ -102,9 +102,10 @@
     }});
     auto body = request_for("plan");
     body["deadline_ms"] = 150;
-    const auto start = std::chrono::steady_clock::now();
+    const auto clock = core::runtime_clock();
+    const auto start = clock.now();
     const auto answer = this->call(body);
-    const auto took = std::chrono::steady_clock::now() - start;
+    const auto took = clock.now() - start;
     EXPECT_EQ(answer.status, 504);
     EXPECT_EQ(answer.body["code"], "deadline_exceeded");
     EXPECT_EQ(answer.body["outcome"], "not_run");
