Send nothing to a cold upstream after its slot's time

Cause: a thread that is paused between the scheduler's decision and the dispatch checked the request's deadline only, so that a cold dispatch could be written after the time at which its slot counts as free again.

Change: the check covers finish_by; the attempt is refused with upstream_cold.

The pause itself is not provoked by a test; it needs a hook between the decision and the dispatch.

Conclusion: found by reading. The remaining window is between the check and the write.

--- a/src/services/upstreams/upstreams_service.cpp
+++ b/src/services/upstreams/upstreams_service.cpp
@@ -37,6 +37,24 @@
     return upstream.cold ? "cold" : "warm";
 }
 
+/// A thread may have been paused between the decision and its dispatch.
+/// \return Why nothing may be sent any more; no error when it may.
+auto why_too_late(const attempt_order& order, const routing::dispatch& sent,
+                  const std::string& address, core::time_point now)
+    -> std::error_code
+{
+    if (address.empty()) {
+        return routing::routing_errc::no_upstream;
+    }
+    if (now >= order.work.deadline) {
+        return routing::routing_errc::deadline_passed;
+    }
+    if (now >= sent.finish_by) {
+        return routing::routing_errc::upstream_cold;
+    }
+    return {};
+}
+
 } // namespace
 
 upstreams_service::upstreams_service(core::zone_name local_zone)
@@ -129,12 +147,9 @@
     result.id = order.work.id;
     result.upstream = upstream;
     const auto start = this->clock->now();
-    if (start >= order.work.deadline || address.empty()) {
+    if (const auto reason = why_too_late(order, sent, address, start)) {
         result.end = routing::attempt_end::cancelled;
         queue.finish(result);
-        const auto reason = address.empty()
-                                ? routing::routing_errc::no_upstream
-                                : routing::routing_errc::deadline_passed;
         return routing::refusal{order.work.id, reason, {}};
     }
     auto deadline = std::min(order.work.deadline, sent.finish_by);
