Separate the lease's store calls from the orders service

Change: lease_shell carries the lease keeper; the service plans and sends orders. lease_acquired and lease_lost are logged.

--- a/src/services/orders/orders_service.cpp
+++ b/src/services/orders/orders_service.cpp
@@ -3,11 +3,13 @@
 #include "core/periodic_task.h"
 #include "fleet/fleet.h"
 #include "kernel/kernel.h"
+#include "logging/logging.h"
 #include "orders/orders.h"
 #include "platform/platform.h"
 #include "platform/platform_service.h"
 #include "services/node/node_service.h"
 #include "services/orders/engine_client.h"
+#include "services/orders/lease_shell.h"
 #include "services/orders/orders_metrics.h"
 
 #include <nlohmann/json.hpp>
@@ -17,7 +19,6 @@
 
 #include <algorithm>
 #include <map>
-#include <mutex>
 #include <utility>
 
 namespace almondtiller::services {
@@ -28,7 +29,6 @@
 
 constexpr auto cycle_pause = milliseconds(200);
 constexpr auto report_interval = milliseconds(1000);
-constexpr auto store_timeout = milliseconds(1000);
 constexpr auto report_timeout = milliseconds(300);
 constexpr auto order_timeout = milliseconds(1000);
 /// An order's connection, request and answer.
@@ -73,23 +73,31 @@
 
 struct orders_service::state
 {
-    explicit state(const fleet::member& self, milliseconds duration)
-        : identity(self),
-          lease_object{"lease", self.region.str()},
-          keeper(self.id.str(), self.incarnation, make_timing(duration)),
+    state(kernel::service_kernel& kernel, const fleet::member& self)
+        : clock(&kernel.clock()),
+          metrics(&kernel.metrics()),
+          peers(kernel.find<fleet::peer_bus>(fleet::peers_service_name)),
+          config(kernel.find<fleet::config_source>(fleet::config_service_name)),
+          directory(kernel.find<fleet::upstream_directory>(
+              fleet::directory_service_name)),
+          identity(self),
+          lease(self.region.str(),
+                orders::lease_keeper(
+                    self.id.str(), self.incarnation,
+                    make_timing(this->config->current()->fleet.lease_duration)),
+                *kernel.find<platform::object_store>(
+                    platform::platform_service_name),
+                kernel.clock(), kernel.metrics()),
           planner(limits)
     {}
 
     auto run_cycle() -> core::duration
     {
-        {
-            const auto guard = std::lock_guard(this->mutex);
-            this->keeper.set_candidate(
-                is_candidate(this->identity, this->peers->members()));
-        }
-        this->advance_lease();
+        this->lease.advance(
+            is_candidate(this->identity, this->peers->members()));
         const auto now = this->clock->now();
-        const auto holds = this->is_holder(now);
+        const auto holds = this->lease.is_holder();
+        this->note_holding(holds);
         this->metrics->gauge_for(lease_held).set(holds ? 1.0 : 0.0);
         if (!holds) {
             this->planner.reset();
@@ -101,67 +109,13 @@
         return cycle_pause;
     }
 
-    auto is_holder(core::time_point now) const -> bool
-    {
-        const auto guard = std::lock_guard(this->mutex);
-        return this->keeper.is_holder(now);
-    }
-
-    auto advance_lease() -> void
-    {
-        auto actions = orders::lease_actions();
-        {
-            const auto guard = std::lock_guard(this->mutex);
-            actions = this->keeper.advance(this->clock->now());
-        }
-        this->perform(std::move(actions));
-    }
-
-    auto perform(orders::lease_actions actions) -> void
-    {
-        while (!actions.empty()) {
-            const auto action = actions.front();
-            actions.erase(actions.begin());
-            const auto more =
-                std::holds_alternative<orders::read_lease>(action)
-                    ? this->read()
-                    : this->write(std::get<orders::write_lease>(action));
-            actions.insert(actions.end(), more.begin(), more.end());
-        }
-    }
-
-    auto read() -> orders::lease_actions
+    auto note_holding(bool holds) -> void
     {
-        using value_type = std::pair<std::uint64_t, orders::lease_value>;
-        auto value = core::result<value_type>(value_type());
-        const auto object = this->store->get(this->lease_object, store_timeout);
-        if (object) {
-            const auto decoded = orders::decode_lease(object.value().value);
-            if (decoded) {
-                value = value_type(object.value().version, decoded.value());
-            } else {
-                value = decoded.error();
-            }
-        } else {
-            value = object.error();
+        if (holds != this->was_holder) {
+            logging::state_change(holds ? "lease_acquired" : "lease_lost",
+                                  {{"region", this->identity.region.str()}});
         }
-        this->count_call("read", value ? std::error_code() : value.error());
-        const auto guard = std::lock_guard(this->mutex);
-        return this->keeper.was_read(value, this->clock->now());
-    }
-
-    auto write(const orders::write_lease& call) -> orders::lease_actions
-    {
-        const auto text = orders::encode(call.value);
-        const auto written =
-            call.expected
-                ? this->store->update(this->lease_object, *call.expected, text,
-                                      store_timeout)
-                : this->store->create(this->lease_object, text, store_timeout);
-        this->count_call("write",
-                         written ? std::error_code() : written.error());
-        const auto guard = std::lock_guard(this->mutex);
-        return this->keeper.was_written(written, this->clock->now());
+        this->was_holder = holds;
     }
 
     auto refresh_reports(core::time_point now) -> void
@@ -241,11 +195,7 @@
                             std::to_string(++this->order_count);
             const auto error = send_order(
                 engine->address, id, order.desired,
-                [this] {
-                    const auto guard = std::lock_guard(this->mutex);
-                    return this->keeper.may_order(this->clock->now());
-                },
-                order_timeout);
+                [this] { return this->lease.may_order(); }, order_timeout);
             this->metrics
                 ->counter_for(orders_sent,
                               {{"result", core::error_name(error)}})
@@ -253,30 +203,18 @@
         }
     }
 
-    auto count_call(const char* call, const std::error_code& error) -> void
-    {
-        this->metrics
-            ->counter_for(lease_store_calls,
-                          {{"call", call}, {"result", core::error_name(error)}})
-            .add();
-    }
-
-    core::runtime_clock* clock = nullptr;
-    core::metrics_registry* metrics = nullptr;
-    platform::object_store* store = nullptr;
-    fleet::peer_bus* peers = nullptr;
-    fleet::config_source* config = nullptr;
-    fleet::upstream_directory* directory = nullptr;
+    core::runtime_clock* clock;
+    core::metrics_registry* metrics;
+    fleet::peer_bus* peers;
+    fleet::config_source* config;
+    fleet::upstream_directory* directory;
     fleet::member identity;
-    platform::object_key lease_object;
-
-    /// Guards the keeper, which status() reads from other threads.
-    mutable std::mutex mutex;
-    orders::lease_keeper keeper;
 
+    lease_shell lease;
     orders::placement_planner planner;
     std::map<std::string, engine_report> reports;
     core::time_point next_reports;
+    bool was_holder = false;
     std::uint64_t order_count = 0;
     tbb::task_arena arena = tbb::task_arena(report_concurrency);
     std::unique_ptr<core::periodic_task> cycle;
@@ -307,21 +245,10 @@
 auto orders_service::services_initialized(kernel::service_kernel& kernel)
     -> std::error_code
 {
-    auto* config =
-        kernel.find<fleet::config_source>(fleet::config_service_name);
     const auto& identity =
         kernel.find<node_service>(node_service_name)->identity();
-    this->data = std::make_unique<state>(
-        identity, config->current()->fleet.lease_duration);
+    this->data = std::make_unique<state>(kernel, identity);
     auto& data = *this->data;
-    data.clock = &kernel.clock();
-    data.metrics = &kernel.metrics();
-    data.config = config;
-    data.store =
-        kernel.find<platform::object_store>(platform::platform_service_name);
-    data.peers = kernel.find<fleet::peer_bus>(fleet::peers_service_name);
-    data.directory =
-        kernel.find<fleet::upstream_directory>(fleet::directory_service_name);
     data.cycle = std::make_unique<core::periodic_task>(
         *data.clock, [&data] { return data.run_cycle(); });
     return {};
@@ -334,12 +261,7 @@
     }
     auto& data = *this->data;
     data.cycle->stop();
-    auto actions = orders::lease_actions();
-    {
-        const auto guard = std::lock_guard(data.mutex);
-        actions = data.keeper.release(data.clock->now());
-    }
-    data.perform(std::move(actions));
+    data.lease.release();
 }
 
 auto orders_service::status() const -> std::string
@@ -349,13 +271,12 @@
         return "{}";
     }
     const auto& data = *this->data;
-    const auto guard = std::lock_guard(data.mutex);
-    const auto& seen = data.keeper.last_seen();
+    const auto seen = data.lease.last_seen();
     return json{{"leases",
                  {{{"region", data.identity.region.str()},
                    {"holder", seen.holder},
                    {"fencing", seen.fencing},
-                   {"held_here", data.keeper.is_holder(data.clock->now())}}}}}
+                   {"held_here", data.lease.is_holder()}}}}}
         .dump();
 }
 
