--- /dev/null
+++ b/src/libs/dispatch/rate_limit.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstddef>
+#include <deque>
+
+namespace almondtiller::dispatch {
+
+/// Bounds the events in any sliding window, for upstreams that fall over when
+/// too much comes at once.
+class rate_limit
+{
+public:
+    explicit rate_limit(core::duration window);
+
+    /// \return Whether one more event keeps the window at \a most or below.
+    [[nodiscard]] auto allows(std::size_t most, core::time_point now) -> bool;
+
+    auto record(core::time_point now) -> void;
+
+private:
+    auto expire(core::time_point now) -> void;
+
+    core::duration window;
+    std::deque<core::time_point> events;
+};
+
+} // namespace almondtiller::dispatch
--- /dev/null
+++ b/src/libs/dispatch/serving_state.cpp
@@ -0,0 +1,143 @@
+#include "dispatch/serving_state.h"
+
+#include <utility>
+
+namespace almondtiller::dispatch {
+
+auto known_upstream::cold_until() const -> core::time_point
+{
+    return this->changed + this->upstream.cold_left;
+}
+
+auto serving_state::apply(std::shared_ptr<const serving::configuration> newer)
+    -> bool
+{
+    if (this->current && newer->version <= this->current->version) {
+        return false;
+    }
+    this->current = std::move(newer);
+    return true;
+}
+
+auto serving_state::update(const serving::upstream& upstream, std::int64_t beat,
+                           core::time_point now) -> bool
+{
+    const auto found = this->known.find(upstream.id);
+    if (found == this->known.end()) {
+        this->known.emplace(upstream.id,
+                            known_upstream{upstream, beat, now, std::nullopt});
+        return true;
+    }
+    auto& entry = found->second;
+    const auto is_older =
+        upstream.started_ms < entry.upstream.started_ms ||
+        (upstream.started_ms == entry.upstream.started_ms && beat < entry.beat);
+    if (is_older) {
+        return false;
+    }
+    const auto was_removed = entry.removal.has_value();
+    entry.removal.reset();
+    auto same = upstream;
+    same.cold_left = entry.upstream.cold_left;
+    const auto stays_warm = upstream.cold_left.count() == 0 &&
+                            entry.upstream.cold_left.count() == 0;
+    entry.beat = beat;
+    if (same == entry.upstream && stays_warm) {
+        return was_removed;
+    }
+    entry.upstream = upstream;
+    entry.changed = now;
+    return true;
+}
+
+auto serving_state::remove(const core::upstream_id& id, bool trusted,
+                           core::time_point now) -> bool
+{
+    const auto found = this->known.find(id);
+    if (found == this->known.end()) {
+        return false;
+    }
+    if (trusted || found->second.upstream.is_draining) {
+        this->known.erase(found);
+        return true;
+    }
+    if (!found->second.removal) {
+        found->second.removal = now + reappearance_time;
+    }
+    return false;
+}
+
+auto serving_state::retain(const std::set<core::upstream_id>& listed,
+                           bool trusted, core::time_point now) -> bool
+{
+    auto missing = std::vector<core::upstream_id>();
+    for (const auto& [id, entry] : this->known) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    auto changed = false;
+    for (const auto& id : missing) {
+        changed = this->remove(id, trusted, now) || changed;
+    }
+    return changed;
+}
+
+auto serving_state::expire(core::time_point now) -> bool
+{
+    return std::erase_if(this->known, [now](const auto& item) {
+               return item.second.removal && *item.second.removal <= now;
+           }) > 0;
+}
+
+auto serving_state::set_evacuated(std::set<core::zone_name> zones) -> bool
+{
+    if (zones == this->closed_zones) {
+        return false;
+    }
+    this->closed_zones = std::move(zones);
+    return true;
+}
+
+auto serving_state::config() const
+    -> const std::shared_ptr<const serving::configuration>&
+{
+    return this->current;
+}
+
+auto serving_state::upstreams() const
+    -> const std::map<core::upstream_id, known_upstream>&
+{
+    return this->known;
+}
+
+auto serving_state::evacuated() const -> const std::set<core::zone_name>&
+{
+    return this->closed_zones;
+}
+
+auto serving_state::is_usable(const known_upstream& entry) const -> bool
+{
+    return !entry.upstream.is_draining &&
+           !this->closed_zones.contains(entry.upstream.zone);
+}
+
+auto serving_state::is_usable(const core::upstream_id& id) const -> bool
+{
+    const auto found = this->known.find(id);
+    return found != this->known.end() && this->is_usable(found->second);
+}
+
+auto serving_state::usable(const serving::service_name& service) const
+    -> std::vector<known_upstream>
+{
+    auto usable = std::vector<known_upstream>();
+    for (const auto& [id, entry] : this->known) {
+        if (entry.upstream.service == service && this->is_usable(entry)) {
+            usable.push_back(entry);
+        }
+    }
+    return usable;
+}
+
+} // namespace almondtiller::dispatch
--- /dev/null
+++ b/src/libs/dispatch/serving_state.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "core/clock.h"
+#include "serving/configuration.h"
+#include "serving/upstream.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace almondtiller::dispatch {
+
+/// An upstream as this node knows it.
+struct known_upstream
+{
+    serving::upstream upstream;
+    std::int64_t beat = 0;
+    core::time_point changed;
+    /// Removed while the store's view could not be trusted; in use until
+    /// then.
+    std::optional<core::time_point> removal;
+
+    /// \return Until when it counts as cold.
+    [[nodiscard]] auto cold_until() const -> core::time_point;
+};
+
+/// How long an entry that lapsed during an outage of the store may take to
+/// come back after it: the platform's own promise of about two seconds.
+constexpr auto reappearance_time = core::milliseconds(2000);
+
+/// What a node believes: the configuration in force, the upstreams and the
+/// availability zones that are to get no work. Never goes back to an older
+/// version of either.
+class serving_state
+{
+public:
+    /// \return Whether it is newer and in force now.
+    auto apply(std::shared_ptr<const serving::configuration> newer) -> bool;
+
+    /// Takes an upstream's entry.
+    /// \return Whether something that matters has changed.
+    auto update(const serving::upstream& upstream, std::int64_t beat,
+                core::time_point now) -> bool;
+
+    /// An entry was removed.
+    /// \param trusted False within an outage of the store or right after it,
+    ///        when entries lapse although their upstreams live.
+    auto remove(const core::upstream_id& id, bool trusted, core::time_point now)
+        -> bool;
+
+    /// Takes a whole list: entries that it lacks count as removed.
+    auto retain(const std::set<core::upstream_id>& listed, bool trusted,
+                core::time_point now) -> bool;
+
+    /// Drops entries whose time to come back is over.
+    auto expire(core::time_point now) -> bool;
+
+    /// \return Whether the set has changed.
+    auto set_evacuated(std::set<core::zone_name> zones) -> bool;
+
+    [[nodiscard]] auto config() const
+        -> const std::shared_ptr<const serving::configuration>&;
+    [[nodiscard]] auto upstreams() const
+        -> const std::map<core::upstream_id, known_upstream>&;
+    [[nodiscard]] auto evacuated() const -> const std::set<core::zone_name>&;
+
+    /// \return The upstreams of a service that may get new work.
+    [[nodiscard]] auto usable(const serving::service_name& service) const
+        -> std::vector<known_upstream>;
+
+    /// \return Whether \a id may get new work.
+    [[nodiscard]] auto is_usable(const core::upstream_id& id) const -> bool;
+
+private:
+    [[nodiscard]] auto is_usable(const known_upstream& known) const -> bool;
+
+    std::shared_ptr<const serving::configuration> current;
+    std::map<core::upstream_id, known_upstream> known;
+    std::set<core::zone_name> closed_zones;
+};
+
+} // namespace almondtiller::dispatch
--- /dev/null
+++ b/src/libs/dispatch/stage_queue.h
@@ -0,0 +1,200 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/endpoint.h"
+#include "routing/outlier_detector.h"
+#include "serving/configuration.h"
+#include "serving/request.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace almondtiller::dispatch {
+
+/// The pieces that one request needs of one stage.
+struct stage_work
+{
+    std::uint64_t ticket = 0;
+    std::vector<serving::stage_item> items;
+    /// The request is late if the stage ends after that.
+    core::time_point due;
+    /// Of no use after that.
+    core::time_point deadline;
+    /// 0 is the most urgent.
+    int priority = 0;
+    /// Where the results will be read; empty: anywhere.
+    core::zone_name zone;
+    /// Size of one result.
+    std::uint64_t result_bytes = 0;
+};
+
+struct stage_engine
+{
+    core::upstream_id id;
+    core::endpoint address;
+    core::zone_name zone;
+
+    auto operator==(const stage_engine&) const -> bool = default;
+};
+
+/// One call to send now.
+struct stage_call
+{
+    std::uint64_t id = 0;
+    stage_engine engine;
+    std::vector<serving::stage_item> items;
+    core::time_point expected_end;
+};
+
+enum class stage_status
+{
+    done,
+    refused,    ///< Can't be done in time.
+    input_gone, ///< Must be made again from its first stage.
+    failed,
+};
+
+/// How a stage_work has ended.
+struct stage_outcome
+{
+    std::uint64_t ticket = 0;
+    stage_status status = stage_status::done;
+    /// One handle an item, in the order of the items.
+    std::vector<std::string> handles;
+    /// For refusals: when there will be room.
+    core::milliseconds retry_after{0};
+
+    auto operator==(const stage_outcome&) const -> bool = default;
+};
+
+/// What follows from an event.
+struct stage_effects
+{
+    std::vector<stage_outcome> outcomes;
+    /// Results that nobody waits for.
+    std::vector<std::string> unwanted;
+};
+
+/// Decides which pieces go to which upstream of a stage service, in which
+/// calls. Load pattern: a call costs far more than a piece, so that calls
+/// which carry one request's pieces saturate the service below the load of a
+/// calm day. Pieces of all nodes wait in one queue; an idle upstream takes
+/// the most urgent of them and fills its call.
+class stage_queue
+{
+public:
+    explicit stage_queue(serving::stage_pool pool);
+
+    auto set_pool(const serving::stage_pool& pool) -> void;
+    auto set_engines(const std::vector<stage_engine>& engines) -> void;
+
+    /// \return A refusal if the work can't be done in time.
+    auto submit(stage_work work, core::time_point now)
+        -> std::optional<stage_outcome>;
+
+    /// Gives a work up.
+    auto cancel(std::uint64_t ticket) -> stage_effects;
+
+    /// \return The next call to send, if an upstream is idle.
+    auto next_call(core::time_point now) -> std::optional<stage_call>;
+
+    /// A call has ended with one result an item.
+    auto on_results(std::uint64_t call,
+                    const std::vector<serving::stage_result>& results,
+                    core::time_point now) -> stage_effects;
+
+    /// A call has failed as a whole.
+    /// \param is_full The upstream said that it did not take the call.
+    auto on_call_failed(std::uint64_t call, bool is_full, core::time_point now)
+        -> stage_effects;
+
+    /// Ends works whose time is over and makes the pieces of overdue calls
+    /// available to other upstreams.
+    auto on_time(core::time_point now) -> stage_effects;
+
+    /// A result was freed at its upstream.
+    auto on_freed(const std::string& handle) -> void;
+
+    [[nodiscard]] auto waiting_pieces() const -> std::size_t;
+
+    /// \return When new work would begin to be done.
+    [[nodiscard]] auto estimated_wait(core::time_point now) const
+        -> core::duration;
+
+private:
+    struct held_result
+    {
+        std::uint64_t bytes = 0;
+        core::time_point expires;
+    };
+    struct engine_state
+    {
+        stage_engine engine;
+        /// The call that it works on; 0: idle.
+        std::uint64_t call = 0;
+        core::time_point busy_until;
+        core::time_point blocked_until;
+        /// Measured time of calls against the nominal one.
+        double slowness = 1.0;
+        routing::outlier_detector health;
+        std::map<std::string, held_result> results;
+    };
+    struct piece
+    {
+        std::string handle;
+        /// Calls that carry it now.
+        int calls = 0;
+        bool is_waiting = true;
+    };
+    struct work_state
+    {
+        stage_work work;
+        std::vector<piece> pieces;
+    };
+    struct piece_ref
+    {
+        std::uint64_t ticket = 0;
+        std::size_t index = 0;
+    };
+    struct call_state
+    {
+        core::upstream_id engine;
+        std::vector<piece_ref> pieces;
+        core::time_point sent;
+        core::time_point overdue;
+        bool is_overdue = false;
+    };
+
+    [[nodiscard]] auto call_time(std::size_t items) const -> core::duration;
+    [[nodiscard]] auto order(core::time_point now) const
+        -> std::vector<const work_state*>;
+    [[nodiscard]] auto is_on_time(const stage_work& work,
+                                  core::time_point now) const -> bool;
+    [[nodiscard]] auto pieces_before(const stage_work& work,
+                                     core::time_point now) const -> std::size_t;
+    [[nodiscard]] auto wait_for(std::size_t pieces) const -> core::duration;
+    auto room_left(engine_state& engine, core::time_point now) -> std::uint64_t;
+    auto idle_engines(core::time_point now) -> std::vector<engine_state*>;
+    auto fill_call(engine_state& engine,
+                   const std::vector<const work_state*>& works,
+                   const std::vector<engine_state*>& idle, core::time_point now)
+        -> std::optional<stage_call>;
+    auto take_call(std::uint64_t id, core::time_point now)
+        -> std::optional<call_state>;
+    auto finish_if_done(std::uint64_t ticket, stage_effects& effects) -> void;
+    auto end_work(std::uint64_t ticket, stage_status status,
+                  stage_effects& effects, core::milliseconds retry_after = {})
+        -> void;
+
+    serving::stage_pool pool;
+    std::map<core::upstream_id, engine_state> engines;
+    std::map<std::uint64_t, work_state> works;
+    std::map<std::uint64_t, call_state> calls;
+    std::map<std::string, core::upstream_id> holders;
+    std::uint64_t last_call = 0;
+};
+
+} // namespace almondtiller::dispatch
--- /dev/null
+++ b/src/libs/event/loop.cpp
@@ -0,0 +1,115 @@
+#include "event/loop.h"
+
+#include <uv.h>
+
+#include <deque>
+#include <utility>
+
+namespace almondtiller::event {
+
+namespace {
+
+struct signal_watch
+{
+    uv_signal_t handle{};
+    std::function<void()> action;
+};
+
+} // namespace
+
+struct loop::state
+{
+    uv_loop_t native{};
+    uv_idle_t idle{};
+    const core::runtime_clock& clock;
+    std::deque<std::function<void()>> posted;
+    std::deque<signal_watch> signals;
+
+    explicit state(const core::runtime_clock& source) : clock(source)
+    {}
+
+    /// Runs what was posted before this call.
+    auto run_posted() -> void
+    {
+        auto batch = std::exchange(this->posted, {});
+        for (auto& action : batch) {
+            action();
+        }
+        if (this->posted.empty()) {
+            uv_idle_stop(&this->idle);
+        }
+    }
+};
+
+loop::loop(const core::runtime_clock& clock)
+    : data(std::make_unique<state>(clock))
+{
+    uv_loop_init(&this->data->native);
+    uv_idle_init(&this->data->native, &this->data->idle);
+    this->data->idle.data = this->data.get();
+}
+
+loop::~loop()
+{
+    uv_walk(
+        &this->data->native,
+        [](uv_handle_t* handle, void*) {
+            if (uv_is_closing(handle) == 0) {
+                uv_close(handle, nullptr);
+            }
+        },
+        nullptr);
+    uv_run(&this->data->native, UV_RUN_NOWAIT);
+    uv_loop_close(&this->data->native);
+}
+
+auto loop::run() -> void
+{
+    uv_run(&this->data->native, UV_RUN_DEFAULT);
+}
+
+auto loop::run_once() -> bool
+{
+    return uv_run(&this->data->native, UV_RUN_NOWAIT) != 0;
+}
+
+auto loop::stop() -> void
+{
+    uv_stop(&this->data->native);
+}
+
+auto loop::post(std::function<void()> action) -> void
+{
+    if (this->data->posted.empty()) {
+        uv_idle_start(&this->data->idle, [](uv_idle_t* idle) {
+            static_cast<state*>(idle->data)->run_posted();
+        });
+    }
+    this->data->posted.push_back(std::move(action));
+}
+
+auto loop::on_signal(int number, std::function<void()> action) -> void
+{
+    auto& watch = this->data->signals.emplace_back();
+    watch.action = std::move(action);
+    watch.handle.data = &watch;
+    uv_signal_init(&this->data->native, &watch.handle);
+    uv_signal_start(
+        &watch.handle,
+        [](uv_signal_t* handle, int) {
+            static_cast<signal_watch*>(handle->data)->action();
+        },
+        number);
+}
+
+auto loop::now() const -> core::time_point
+{
+    return this->data->clock.now();
+}
+
+auto loop::native() -> uv_loop_s*
+{
+    return &this->data->native;
+}
+
+} // namespace almondtiller::event
--- /dev/null
+++ b/src/libs/event/stream_state.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "event/tcp_stream.h"
+
+#include <uv.h>
+
+#include <deque>
+
+namespace almondtiller::event {
+
+/// Lives until the library has closed the handle; the stream object may go
+/// earlier.
+struct tcp_stream::state
+{
+    uv_tcp_t handle{};
+    loop* owner = nullptr;
+    std::function<void(std::string_view)> on_bytes;
+    std::function<void(std::error_code)> on_end;
+    std::function<void()> on_drained;
+    std::size_t pending = 0;
+    bool is_closing = false;
+    bool closes_when_sent = false;
+    bool is_ended = false;
+    bool is_reading = false;
+
+    auto stream() -> uv_stream_t*
+    {
+        return reinterpret_cast<uv_stream_t*>(&this->handle);
+    }
+    auto close() -> void;
+    auto end(std::error_code error) -> void;
+};
+
+/// Sets the options that every connection gets: no delay, and probes that
+/// find a silent connection.
+auto prepare_socket(uv_tcp_t& handle) -> void;
+
+[[nodiscard]] auto uv_error(int status) -> std::error_code;
+
+} // namespace almondtiller::event
--- /dev/null
+++ b/src/libs/event/tcp_listener.cpp
@@ -0,0 +1,94 @@
+#include "event/tcp_listener.h"
+
+#include "event/loop.h"
+#include "event/stream_state.h"
+
+#include <utility>
+
+namespace almondtiller::event {
+
+namespace {
+
+constexpr auto accept_backlog = 512;
+
+} // namespace
+
+/// Lives until the library has closed the handle.
+struct tcp_listener::state
+{
+    uv_tcp_t handle{};
+    loop* owner = nullptr;
+    accept_hook on_accept;
+    bool is_closing = false;
+
+    auto accept() -> void
+    {
+        auto* accepted = new tcp_stream::state();
+        accepted->owner = this->owner;
+        uv_tcp_init(this->owner->native(), &accepted->handle);
+        accepted->handle.data = accepted;
+        if (uv_accept(reinterpret_cast<uv_stream_t*>(&this->handle),
+                      accepted->stream()) != 0) {
+            accepted->close();
+            return;
+        }
+        prepare_socket(accepted->handle);
+        this->on_accept(std::make_shared<tcp_stream>(accepted));
+    }
+};
+
+tcp_listener::tcp_listener(loop& owner, accept_hook on_accept)
+    : data(new state())
+{
+    this->data->owner = &owner;
+    this->data->on_accept = std::move(on_accept);
+    uv_tcp_init(owner.native(), &this->data->handle);
+    this->data->handle.data = this->data;
+}
+
+tcp_listener::~tcp_listener()
+{
+    this->close();
+}
+
+auto tcp_listener::listen(const core::endpoint& address) -> std::error_code
+{
+    auto numeric = sockaddr_in();
+    uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
+    auto status = uv_tcp_bind(&this->data->handle,
+                              reinterpret_cast<const sockaddr*>(&numeric), 0);
+    if (status == 0) {
+        status = uv_listen(reinterpret_cast<uv_stream_t*>(&this->data->handle),
+                           accept_backlog, [](uv_stream_t* server, int result) {
+                               if (result == 0) {
+                                   static_cast<state*>(server->data)->accept();
+                               }
+                           });
+    }
+    return status == 0 ? std::error_code() : uv_error(status);
+}
+
+auto tcp_listener::port() const -> int
+{
+    if (this->data == nullptr) {
+        return 0;
+    }
+    auto bound = sockaddr_in();
+    auto size = int(sizeof(bound));
+    uv_tcp_getsockname(&this->data->handle, reinterpret_cast<sockaddr*>(&bound),
+                       &size);
+    return ntohs(bound.sin_port);
+}
+
+auto tcp_listener::close() -> void
+{
+    if (this->data == nullptr) {
+        return;
+    }
+    uv_close(
+        reinterpret_cast<uv_handle_t*>(&this->data->handle),
+        [](uv_handle_t* handle) { delete static_cast<state*>(handle->data); });
+    this->data = nullptr;
+}
+
+} // namespace almondtiller::event
--- /dev/null
+++ b/src/libs/event/tcp_listener.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "event/tcp_stream.h"
+
+#include <functional>
+#include <memory>
+#include <system_error>
+
+namespace almondtiller::event {
+
+/// Accepts TCP connections on one address.
+class tcp_listener
+{
+public:
+    using accept_hook = std::function<void(std::shared_ptr<tcp_stream>)>;
+
+    tcp_listener(loop& owner, accept_hook on_accept);
+    ~tcp_listener();
+    tcp_listener(const tcp_listener&) = delete;
+    auto operator=(const tcp_listener&) -> tcp_listener& = delete;
+
+    /// \param address Port 0 takes any free port.
+    auto listen(const core::endpoint& address) -> std::error_code;
+
+    /// \return The port it listens on; 0 before listen().
+    [[nodiscard]] auto port() const -> int;
+
+    /// Accepts no more connections.
+    auto close() -> void;
+
+private:
+    struct state;
+    state* data;
+};
+
+} // namespace almondtiller::event
--- /dev/null
+++ b/src/libs/event/tcp_stream.cpp
@@ -0,0 +1,299 @@
+#include "event/loop.h"
+#include "event/stream_state.h"
+#include "event/timer.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace almondtiller::event {
+
+namespace {
+
+/// Idle time before the first keep-alive probe, and between probes. A
+/// connection that went silent must be found well inside the three seconds
+/// after which the users' bounds apply again.
+constexpr auto probe_idle_s = 1;
+constexpr auto probe_interval_s = 1;
+constexpr auto probe_count = 2;
+/// Unacknowledged data may stay that long before the connection fails.
+constexpr auto user_timeout_ms = 3000;
+
+/// One buffer serves every read, as reads do not overlap on a loop.
+std::array<char, 65536> read_buffer;
+
+struct write_request
+{
+    uv_write_t request{};
+    std::string bytes;
+    tcp_stream::state* target = nullptr;
+};
+
+struct connect_request
+{
+    uv_connect_t request{};
+    tcp_stream::state* target = nullptr;
+    std::unique_ptr<timer> limit;
+    tcp_stream::connect_hook done;
+};
+
+auto finish_connect(connect_request* pending, std::error_code error) -> void
+{
+    const auto done = std::exchange(pending->done, nullptr);
+    pending->limit.reset();
+    if (!done) {
+        return;
+    }
+    if (error) {
+        pending->target->close();
+        done(nullptr, error);
+        return;
+    }
+    prepare_socket(pending->target->handle);
+    done(std::make_shared<tcp_stream>(pending->target), {});
+}
+
+auto on_read(uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) -> void
+{
+    auto* state = static_cast<tcp_stream::state*>(stream->data);
+    if (size == 0 || state->is_closing) {
+        return;
+    }
+    if (size < 0) {
+        state->end(size == UV_EOF ? std::error_code() : uv_error(int(size)));
+        return;
+    }
+    // The hook may replace itself.
+    const auto hook = state->on_bytes;
+    hook(std::string_view(buffer->base, std::size_t(size)));
+}
+
+auto start_reading(tcp_stream::state* state) -> void
+{
+    state->is_reading = true;
+    uv_read_start(
+        state->stream(),
+        [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
+            *buffer = uv_buf_init(read_buffer.data(), read_buffer.size());
+        },
+        on_read);
+}
+
+} // namespace
+
+auto uv_error(int status) -> std::error_code
+{
+    return {-status, std::generic_category()};
+}
+
+auto prepare_socket(uv_tcp_t& handle) -> void
+{
+    uv_tcp_nodelay(&handle, 1);
+    auto descriptor = uv_os_fd_t();
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &descriptor) != 0) {
+        return;
+    }
+    const auto set = [descriptor](int level, int name, int value) {
+        setsockopt(descriptor, level, name, &value, sizeof(value));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, probe_idle_s);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set(IPPROTO_TCP, TCP_KEEPCNT, probe_count);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+}
+
+auto tcp_stream::state::close() -> void
+{
+    if (this->is_closing) {
+        return;
+    }
+    this->is_closing = true;
+    this->owner->post(
+        [hooks = std::pair(std::move(this->on_bytes), std::move(this->on_end)),
+         drained = std::move(this->on_drained)]() {});
+    this->on_bytes = nullptr;
+    this->on_end = nullptr;
+    this->on_drained = nullptr;
+    uv_close(
+        reinterpret_cast<uv_handle_t*>(&this->handle),
+        [](uv_handle_t* handle) { delete static_cast<state*>(handle->data); });
+}
+
+auto tcp_stream::state::end(std::error_code error) -> void
+{
+    if (this->is_ended || this->is_closing) {
+        return;
+    }
+    this->is_ended = true;
+    if (this->is_reading) {
+        uv_read_stop(this->stream());
+    }
+    const auto hook = this->on_end;
+    if (hook) {
+        hook(error);
+    }
+}
+
+tcp_stream::tcp_stream(state* adopted) : data(adopted)
+{}
+
+tcp_stream::~tcp_stream()
+{
+    this->close();
+}
+
+auto tcp_stream::connect(loop& owner, const core::endpoint& address,
+                         core::milliseconds limit, connect_hook on_connected)
+    -> void
+{
+    auto* target = new state();
+    target->owner = &owner;
+    uv_tcp_init(owner.native(), &target->handle);
+    target->handle.data = target;
+    auto* pending = new connect_request();
+    pending->target = target;
+    pending->done = std::move(on_connected);
+    pending->request.data = pending;
+    pending->limit = std::make_unique<timer>(owner, [pending]() {
+        finish_connect(pending, std::make_error_code(std::errc::timed_out));
+    });
+    pending->limit->start(limit);
+    auto numeric = sockaddr_in();
+    uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
+    const auto status = uv_tcp_connect(
+        &pending->request, &target->handle,
+        reinterpret_cast<const sockaddr*>(&numeric),
+        [](uv_connect_t* request, int result) {
+            auto* self = static_cast<connect_request*>(request->data);
+            finish_connect(self,
+                           result == 0 ? std::error_code() : uv_error(result));
+            delete self;
+        });
+    if (status != 0) {
+        owner.post([pending, status]() {
+            finish_connect(pending, uv_error(status));
+            delete pending;
+        });
+    }
+}
+
+auto tcp_stream::start(std::function<void(std::string_view)> on_bytes,
+                       std::function<void(std::error_code)> on_end) -> void
+{
+    if (!this->is_open()) {
+        return;
+    }
+    this->data->on_bytes = std::move(on_bytes);
+    this->data->on_end = std::move(on_end);
+    if (!this->data->is_reading) {
+        start_reading(this->data);
+    }
+}
+
+auto tcp_stream::write(std::string bytes) -> void
+{
+    if (!this->is_open() || this->data->closes_when_sent || bytes.empty()) {
+        return;
+    }
+    auto sent = std::size_t(0);
+    if (this->data->pending == 0) {
+        auto whole = uv_buf_init(bytes.data(), unsigned(bytes.size()));
+        const auto status = uv_try_write(this->data->stream(), &whole, 1);
+        if (status < 0 && status != UV_EAGAIN) {
+            this->data->owner->post(
+                [kept = this->shared_from_this(), status]() {
+                    if (kept->data != nullptr) {
+                        kept->data->end(uv_error(status));
+                    }
+                });
+            return;
+        }
+        sent = status > 0 ? std::size_t(status) : 0;
+    }
+    if (sent == bytes.size()) {
+        return;
+    }
+    auto* request = new write_request();
+    request->bytes = bytes.substr(sent);
+    request->target = this->data;
+    request->request.data = request;
+    this->data->pending += request->bytes.size();
+    auto rest =
+        uv_buf_init(request->bytes.data(), unsigned(request->bytes.size()));
+    uv_write(&request->request, this->data->stream(), &rest, 1,
+             [](uv_write_t* raw, int status) {
+                 const auto self = std::unique_ptr<write_request>(
+                     static_cast<write_request*>(raw->data));
+                 auto* target = self->target;
+                 target->pending -= self->bytes.size();
+                 if (target->is_closing) {
+                     return;
+                 }
+                 if (status < 0) {
+                     target->end(uv_error(status));
+                     return;
+                 }
+                 if (target->pending == 0 && target->closes_when_sent) {
+                     target->close();
+                 } else if (target->pending == 0 && target->on_drained) {
+                     std::exchange(target->on_drained, nullptr)();
+                 }
+             });
+}
+
+auto tcp_stream::pending_bytes() const -> std::size_t
+{
+    return this->is_open() ? this->data->pending : 0;
+}
+
+auto tcp_stream::on_drained(std::function<void()> action) -> void
+{
+    if (this->is_open()) {
+        this->data->on_drained = std::move(action);
+    }
+}
+
+auto tcp_stream::pause_reading() -> void
+{
+    if (this->is_open() && this->data->is_reading) {
+        this->data->is_reading = false;
+        uv_read_stop(this->data->stream());
+    }
+}
+
+auto tcp_stream::resume_reading() -> void
+{
+    if (this->is_open() && !this->data->is_reading && !this->data->is_ended) {
+        start_reading(this->data);
+    }
+}
+
+auto tcp_stream::close_when_sent() -> void
+{
+    if (!this->is_open()) {
+        return;
+    }
+    if (this->data->pending == 0) {
+        this->close();
+        return;
+    }
+    this->data->closes_when_sent = true;
+}
+
+auto tcp_stream::close() -> void
+{
+    if (this->data != nullptr) {
+        std::exchange(this->data, nullptr)->close();
+    }
+}
+
+auto tcp_stream::is_open() const -> bool
+{
+    return this->data != nullptr && !this->data->is_closing;
+}
+
+} // namespace almondtiller::event
--- /dev/null
+++ b/src/libs/event/tcp_stream.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/endpoint.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace almondtiller::event {
+
+class loop;
+
+/// One TCP connection. Its hooks are called on the loop's thread and never
+/// from within a call on the stream.
+class tcp_stream : public std::enable_shared_from_this<tcp_stream>
+{
+public:
+    struct state;
+
+    explicit tcp_stream(state* adopted);
+    ~tcp_stream();
+    tcp_stream(const tcp_stream&) = delete;
+    auto operator=(const tcp_stream&) -> tcp_stream& = delete;
+
+    /// Connects to \a address.
+    /// \param on_connected Gets the stream, or why there is none
+    ///        (std::errc::timed_out after \a limit).
+    using connect_hook =
+        std::function<void(std::shared_ptr<tcp_stream>, std::error_code)>;
+    static auto connect(loop& owner, const core::endpoint& address,
+                        core::milliseconds limit, connect_hook on_connected)
+        -> void;
+
+    /// Starts to read.
+    /// \param on_bytes Gets what has arrived; the view ends with the call.
+    /// \param on_end Called once when the peer has closed (no error) or the
+    ///        connection has failed; not after close().
+    auto start(std::function<void(std::string_view)> on_bytes,
+               std::function<void(std::error_code)> on_end) -> void;
+
+    /// Queues \a bytes; what can be sent now is sent at once.
+    auto write(std::string bytes) -> void;
+
+    /// \return Bytes that are queued and not yet with the kernel.
+    [[nodiscard]] auto pending_bytes() const -> std::size_t;
+
+    /// Calls \a action once the queue has become empty again.
+    auto on_drained(std::function<void()> action) -> void;
+
+    auto pause_reading() -> void;
+    auto resume_reading() -> void;
+
+    /// Closes after the queue has been sent.
+    auto close_when_sent() -> void;
+
+    /// Closes at once; queued bytes may be lost.
+    auto close() -> void;
+
+    [[nodiscard]] auto is_open() const -> bool;
+
+private:
+    state* data;
+};
+
+} // namespace almondtiller::event
--- a/src/services/peers/h2_session.cpp
+++ b/src/libs/h2/h2_session.cpp
@@ -1,4 +1,4 @@
-#include "services/peers/h2_session.h"
+#include "h2/h2_session.h"
 
 #include "fleet/fleet_errc.h"
 
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace almondtiller::services {
+namespace almondtiller::h2 {
 
 namespace {
 
@@ -105,11 +105,15 @@
     auto closed(std::int32_t id) -> void
     {
         const auto* stream = this->find(id);
-        const auto is_lost = this->role == h2_role::client &&
-                             stream != nullptr && !stream->answered;
+        const auto is_open = stream != nullptr && !stream->answered;
         this->streams.erase(id);
-        if (is_lost) {
+        if (!is_open) {
+            return;
+        }
+        if (this->role == h2_role::client) {
             this->hooks.on_answer(id, make_error_code(fleet_errc::peer_failed));
+        } else if (this->hooks.on_cancelled) {
+            this->hooks.on_cancelled(id);
         }
     }
 };
@@ -326,4 +330,4 @@
     }
 }
 
-} // namespace almondtiller::services
+} // namespace almondtiller::h2
--- a/src/services/peers/h2_session.h
+++ b/src/libs/h2/h2_session.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace almondtiller::services {
+namespace almondtiller::h2 {
 
 /// The largest body of a message between peers.
 constexpr auto max_peer_body_bytes = std::size_t(2) << 20U;
@@ -40,6 +40,8 @@
     /// Clients: a request has ended.
     std::function<void(std::int32_t stream, core::result<std::string> answer)>
         on_answer;
+    /// Servers: the peer has given up a request that is not answered yet.
+    std::function<void(std::int32_t stream)> on_cancelled = {};
 };
 
 /// One HTTP/2 connection without its socket: bytes in, bytes out. Not
@@ -76,4 +78,4 @@
     std::unique_ptr<state> data;
 };
 
-} // namespace almondtiller::services
+} // namespace almondtiller::h2
--- /dev/null
+++ b/src/libs/http1/client_connection.cpp
@@ -0,0 +1,160 @@
+#include "http1/client_connection.h"
+
+#include <charconv>
+#include <utility>
+
+namespace almondtiller::http1 {
+
+namespace {
+
+/// \return The timeout of a Keep-Alive field, 0 s if it names none.
+auto keep_alive_timeout(std::string_view value) -> std::chrono::seconds
+{
+    constexpr auto key = std::string_view("timeout=");
+    const auto at = value.find(key);
+    auto seconds = 0;
+    if (at != std::string_view::npos) {
+        const auto digits = value.substr(at + key.size());
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    }
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+client_connection::client_connection(
+    std::shared_ptr<event::tcp_stream> connected)
+    : stream(std::move(connected))
+{}
+
+auto client_connection::start() -> void
+{
+    const auto weak = this->weak_from_this();
+    this->stream->start(
+        [weak](std::string_view bytes) {
+            if (const auto self = weak.lock()) {
+                self->on_bytes(bytes);
+            }
+        },
+        [weak](std::error_code error) {
+            if (const auto self = weak.lock()) {
+                self->on_end(error);
+            }
+        });
+}
+
+auto client_connection::call(std::string request, bool has_no_body,
+                             call_hooks called) -> void
+{
+    this->hooks = std::make_shared<const call_hooks>(std::move(called));
+    this->parser = std::make_unique<response_parser>(
+        response_parser::hooks{[this](response_head head) {
+                                   this->reusable = head.keep_alive &&
+                                                    !head.ends_with_connection;
+                                   this->idle_limit = keep_alive_timeout(
+                                       head.headers.find("keep-alive"));
+                                   // A hook may cancel the call and with it the
+                                   // hooks.
+                                   const auto kept = this->hooks;
+                                   if (kept && kept->on_head) {
+                                       kept->on_head(std::move(head));
+                                   }
+                               },
+                               [this](std::string_view bytes) {
+                                   const auto kept = this->hooks;
+                                   if (kept && kept->on_body) {
+                                       kept->on_body(bytes);
+                                   }
+                               }},
+        has_no_body);
+    this->stream->write(std::move(request));
+}
+
+auto client_connection::on_bytes(std::string_view bytes) -> void
+{
+    const auto self = this->shared_from_this();
+    if (!this->parser) {
+        // Bytes that belong to no request spoil the connection.
+        this->cancel();
+        return;
+    }
+    const auto error = this->parser->feed(bytes);
+    if (!this->stream->is_open()) {
+        return;
+    }
+    if (this->parser->is_complete()) {
+        if (error || this->stream->pending_bytes() > 0) {
+            this->reusable = false;
+        }
+        this->finish({});
+    } else if (error) {
+        this->finish(error);
+    }
+}
+
+auto client_connection::on_end(std::error_code error) -> void
+{
+    const auto self = this->shared_from_this();
+    this->reusable = false;
+    if (!this->parser) {
+        this->stream->close();
+        return;
+    }
+    if (!error) {
+        error = this->parser->feed_end();
+    }
+    this->finish(error);
+}
+
+auto client_connection::finish(std::error_code error) -> void
+{
+    const auto called = std::exchange(this->hooks, nullptr);
+    // The parser may be below on the stack.
+    const auto kept = std::shared_ptr<response_parser>(std::move(this->parser));
+    if (error || !this->reusable) {
+        this->reusable = false;
+        this->stream->close();
+    }
+    if (called && called->on_done) {
+        called->on_done(error);
+    }
+}
+
+auto client_connection::cancel() -> void
+{
+    this->hooks = nullptr;
+    this->reusable = false;
+    this->stream->close();
+}
+
+auto client_connection::is_idle() const -> bool
+{
+    return !this->parser;
+}
+
+auto client_connection::is_open() const -> bool
+{
+    return this->stream->is_open();
+}
+
+auto client_connection::is_reusable() const -> bool
+{
+    return this->reusable && this->is_open();
+}
+
+auto client_connection::announced_idle() const -> std::chrono::seconds
+{
+    return this->idle_limit;
+}
+
+auto client_connection::pause_reading() -> void
+{
+    this->stream->pause_reading();
+}
+
+auto client_connection::resume_reading() -> void
+{
+    this->stream->resume_reading();
+}
+
+} // namespace almondtiller::http1
--- /dev/null
+++ b/src/libs/http1/client_pool.cpp
@@ -0,0 +1,156 @@
+#include "http1/client_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::http1 {
+
+namespace {
+
+/// Share of an announced idle time after which a connection is not used.
+constexpr auto idle_share = 0.6;
+/// Idle connections are kept that long at the most.
+constexpr auto longest_kept = std::chrono::seconds(10);
+
+auto is_fresh(const client_connection& connection, core::duration idle_for,
+              core::milliseconds longest_idle) -> bool
+{
+    const auto announced = connection.announced_idle();
+    const auto limit =
+        announced.count() > 0
+            ? std::chrono::duration_cast<core::duration>(announced * idle_share)
+            : core::duration(longest_kept);
+    return connection.is_reusable() && idle_for < limit &&
+           idle_for < longest_idle;
+}
+
+} // namespace
+
+auto pooled_call::cancel() -> void
+{
+    this->is_over = true;
+    if (const auto open = std::exchange(this->connection, nullptr)) {
+        open->cancel();
+    }
+}
+
+auto pooled_call::pause_reading() -> void
+{
+    if (this->connection) {
+        this->connection->pause_reading();
+    }
+}
+
+auto pooled_call::resume_reading() -> void
+{
+    if (this->connection) {
+        this->connection->resume_reading();
+    }
+}
+
+client_pool::client_pool(event::loop& loop) : owner(loop)
+{}
+
+client_pool::~client_pool()
+{
+    *this->alive = false;
+}
+
+auto client_pool::take_idle(const std::string& key,
+                            core::milliseconds longest_idle)
+    -> std::shared_ptr<client_connection>
+{
+    const auto found = this->idle.find(key);
+    if (found == this->idle.end()) {
+        return nullptr;
+    }
+    auto& kept = found->second;
+    while (!kept.empty()) {
+        auto newest = std::move(kept.back());
+        kept.pop_back();
+        if (is_fresh(*newest.connection, this->owner.now() - newest.since,
+                     longest_idle)) {
+            return newest.connection;
+        }
+    }
+    return nullptr;
+}
+
+auto client_pool::call(const call_target& target, std::string request,
+                       const call_options& options, pool_hooks hooks)
+    -> std::shared_ptr<pooled_call>
+{
+    auto call = std::make_shared<pooled_call>();
+    if (auto kept = this->take_idle(target.key, options.longest_idle)) {
+        call->connection = std::move(kept);
+        this->send(call, target.key, std::move(request), options.has_no_body,
+                   std::move(hooks));
+        return call;
+    }
+    ++this->connects;
+    event::tcp_stream::connect(
+        this->owner, target.address, options.connect_limit,
+        [this, life = this->alive, call, key = target.key,
+         text = std::move(request), options,
+         called = std::move(hooks)](std::shared_ptr<event::tcp_stream> stream,
+                                    std::error_code error) mutable {
+            if (!*life || call->is_over) {
+                return;
+            }
+            if (error) {
+                call->is_over = true;
+                called.on_done(error, false);
+                return;
+            }
+            call->connection =
+                std::make_shared<client_connection>(std::move(stream));
+            call->connection->start();
+            this->send(call, key, std::move(text), options.has_no_body,
+                       std::move(called));
+        });
+    return call;
+}
+
+auto client_pool::send(const std::shared_ptr<pooled_call>& call,
+                       const std::string& key, std::string request,
+                       bool has_no_body, pool_hooks hooks) -> void
+{
+    auto connection = call->connection;
+    auto called = call_hooks();
+    called.on_head = std::move(hooks.on_head);
+    called.on_body = std::move(hooks.on_body);
+    called.on_done = [this, life = this->alive, call, key,
+                      done = std::move(hooks.on_done)](std::error_code error) {
+        const auto used = std::exchange(call->connection, nullptr);
+        call->is_over = true;
+        if (*life && !error && used && used->is_reusable()) {
+            this->idle[key].push_back({used, this->owner.now()});
+        }
+        done(error, true);
+    };
+    connection->call(std::move(request), has_no_body, std::move(called));
+}
+
+auto client_pool::sweep(
+    const std::function<bool(const std::string&)>& is_wanted) -> void
+{
+    for (auto& [key, kept] : this->idle) {
+        if (!is_wanted(key)) {
+            kept.clear();
+            continue;
+        }
+        std::erase_if(kept, [this](const auto& entry) {
+            return !is_fresh(*entry.connection, this->owner.now() - entry.since,
+                             longest_kept);
+        });
+    }
+    std::erase_if(this->idle,
+                  [](const auto& entry) { return entry.second.empty(); });
+}
+
+auto client_pool::opened() const -> std::uint64_t
+{
+    return this->connects;
+}
+
+} // namespace almondtiller::http1
--- /dev/null
+++ b/src/libs/http1/client_pool.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "event/loop.h"
+#include "http1/client_connection.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace almondtiller::http1 {
+
+/// Where a call goes. Connections are kept by key, so that a new server at an
+/// old address gets none of them.
+struct call_target
+{
+    std::string key;
+    core::endpoint address;
+
+    auto operator==(const call_target&) const -> bool = default;
+};
+
+struct call_options
+{
+    core::milliseconds connect_limit{400};
+    /// Connections that were idle for longer are not used; a server may drop
+    /// them just as the call is sent.
+    core::milliseconds longest_idle{3000};
+    bool has_no_body = false;
+
+    auto operator==(const call_options&) const -> bool = default;
+};
+
+/// Hooks of a pooled call.
+struct pool_hooks
+{
+    std::function<void(response_head)> on_head;
+    std::function<void(std::string_view)> on_body;
+    /// \param sent False if nothing can have reached the server.
+    std::function<void(std::error_code error, bool sent)> on_done;
+};
+
+/// One call, until on_done or cancel().
+class pooled_call
+{
+public:
+    /// Gives the call up and closes its connection. No hook is called.
+    auto cancel() -> void;
+    auto pause_reading() -> void;
+    auto resume_reading() -> void;
+
+private:
+    friend class client_pool;
+    std::shared_ptr<client_connection> connection;
+    bool is_over = false;
+};
+
+/// Keeps connections to servers and calls over them. Loop thread only.
+class client_pool
+{
+public:
+    explicit client_pool(event::loop& owner);
+    ~client_pool();
+    client_pool(const client_pool&) = delete;
+    auto operator=(const client_pool&) -> client_pool& = delete;
+
+    auto call(const call_target& target, std::string request,
+              const call_options& options, pool_hooks hooks)
+        -> std::shared_ptr<pooled_call>;
+
+    /// Closes the idle connections of servers that \a is_wanted rejects, and
+    /// those that were idle for too long.
+    auto sweep(const std::function<bool(const std::string&)>& is_wanted)
+        -> void;
+
+    /// \return Connections that were opened since the start.
+    [[nodiscard]] auto opened() const -> std::uint64_t;
+
+private:
+    struct idle_connection
+    {
+        std::shared_ptr<client_connection> connection;
+        core::time_point since;
+    };
+    auto take_idle(const std::string& key, core::milliseconds longest_idle)
+        -> std::shared_ptr<client_connection>;
+    auto send(const std::shared_ptr<pooled_call>& call, const std::string& key,
+              std::string request, bool has_no_body, pool_hooks hooks) -> void;
+
+    event::loop& owner;
+    std::map<std::string, std::vector<idle_connection>> idle;
+    std::uint64_t connects = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace almondtiller::http1
--- /dev/null
+++ b/src/libs/http1/server_connection.cpp
@@ -0,0 +1,306 @@
+#include "http1/server_connection.h"
+
+#include "event/loop.h"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace almondtiller::http1 {
+
+namespace {
+
+/// Bytes of later requests that may wait behind the one under way.
+constexpr auto max_waiting_bytes = std::size_t(1) << 20U;
+
+auto status_of(const std::error_code& error) -> int
+{
+    if (error == http1_errc::header_too_large) {
+        return 431;
+    }
+    if (error == http1_errc::body_too_large) {
+        return 413;
+    }
+    return 400;
+}
+
+auto chunk_prefix(std::size_t size) -> std::string
+{
+    auto digits = std::array<char, 24>();
+    const auto length =
+        std::snprintf(digits.data(), digits.size(), "%zx\r\n", size);
+    return {digits.data(), std::size_t(length)};
+}
+
+} // namespace
+
+exchange::exchange(std::shared_ptr<server_connection> caller)
+    : connection(std::move(caller))
+{}
+
+auto exchange::write_head(int status, const header_list& headers) -> std::string
+{
+    auto head = "HTTP/1.1 " + std::to_string(status) + " " +
+                std::string(reason_phrase(status)) + "\r\n";
+    for (const auto& field : headers) {
+        head += field.name + ": " + field.value + "\r\n";
+    }
+    const auto& options = *this->connection->options;
+    if (options.is_draining && options.is_draining()) {
+        this->connection->keep_alive = false;
+    }
+    if (!this->connection->keep_alive) {
+        head += "Connection: close\r\n";
+    }
+    return head;
+}
+
+auto exchange::respond(int status, const header_list& headers,
+                       std::string_view body) -> void
+{
+    if (this->started || this->finished) {
+        return;
+    }
+    this->started = true;
+    auto answer = this->write_head(status, headers);
+    answer += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    answer += body;
+    this->connection->stream->write(std::move(answer));
+    this->complete();
+}
+
+auto exchange::start(int status, const header_list& headers,
+                     std::optional<std::uint64_t> length) -> void
+{
+    if (this->started || this->finished) {
+        return;
+    }
+    this->started = true;
+    this->chunked = !length;
+    auto head = this->write_head(status, headers);
+    head += length ? "Content-Length: " + std::to_string(*length) + "\r\n\r\n"
+                   : std::string("Transfer-Encoding: chunked\r\n\r\n");
+    this->connection->stream->write(std::move(head));
+}
+
+auto exchange::send(std::string_view piece) -> void
+{
+    if (!this->started || this->finished || piece.empty()) {
+        return;
+    }
+    if (!this->chunked) {
+        this->connection->stream->write(std::string(piece));
+        return;
+    }
+    auto chunk = chunk_prefix(piece.size());
+    chunk += piece;
+    chunk += "\r\n";
+    this->connection->stream->write(std::move(chunk));
+}
+
+auto exchange::finish() -> void
+{
+    if (!this->started || this->finished) {
+        return;
+    }
+    if (this->chunked) {
+        this->connection->stream->write("0\r\n\r\n");
+    }
+    this->complete();
+}
+
+auto exchange::complete() -> void
+{
+    this->finished = true;
+    this->gone = nullptr;
+    const auto kept = std::exchange(this->connection, nullptr);
+    kept->exchange_done(kept->keep_alive);
+}
+
+auto exchange::abort() -> void
+{
+    if (this->finished) {
+        return;
+    }
+    this->finished = true;
+    this->gone = nullptr;
+    std::exchange(this->connection, nullptr)->close();
+}
+
+auto exchange::on_gone(std::function<void()> action) -> void
+{
+    if (!this->finished) {
+        this->gone = std::move(action);
+    }
+}
+
+auto exchange::pending_bytes() const -> std::size_t
+{
+    return this->connection ? this->connection->stream->pending_bytes() : 0;
+}
+
+auto exchange::on_drained(std::function<void()> action) -> void
+{
+    if (this->connection) {
+        this->connection->stream->on_drained(std::move(action));
+    }
+}
+
+auto exchange::is_started() const -> bool
+{
+    return this->started;
+}
+
+auto exchange::is_finished() const -> bool
+{
+    return this->finished;
+}
+
+server_connection::server_connection(
+    event::loop& loop, std::shared_ptr<event::tcp_stream> accepted,
+    std::shared_ptr<const server_options> shared)
+    : owner(loop),
+      stream(std::move(accepted)),
+      options(std::move(shared)),
+      timeout(loop, [this]() {
+          if (this->is_reading_request) {
+              this->reject(http1_errc::timed_out);
+          } else {
+              this->close();
+          }
+      })
+{}
+
+auto server_connection::start() -> void
+{
+    this->parser.set_limits(this->options->limits());
+    this->restart_timer();
+    const auto weak = this->weak_from_this();
+    this->stream->start(
+        [weak](std::string_view bytes) {
+            if (const auto self = weak.lock()) {
+                self->on_bytes(bytes);
+            }
+        },
+        [weak](std::error_code) {
+            if (const auto self = weak.lock()) {
+                self->on_end();
+            }
+        });
+}
+
+auto server_connection::restart_timer() -> void
+{
+    this->is_reading_request = this->parser.is_within_request();
+    this->timeout.start(this->is_reading_request
+                            ? this->options->header_timeout()
+                            : this->options->idle_timeout());
+}
+
+auto server_connection::on_bytes(std::string_view bytes) -> void
+{
+    this->parser.feed(bytes);
+    if (this->current) {
+        if (this->parser.buffered_bytes() > max_waiting_bytes) {
+            this->stream->pause_reading();
+        }
+        return;
+    }
+    this->read_next();
+}
+
+auto server_connection::read_next() -> void
+{
+    const auto self = this->shared_from_this();
+    auto error = std::error_code();
+    auto request = this->parser.next(error);
+    if (error) {
+        this->reject(error);
+        return;
+    }
+    if (!request) {
+        if (this->parser.take_expectation()) {
+            this->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        if (this->is_reading_request != this->parser.is_within_request()) {
+            this->restart_timer();
+        }
+        return;
+    }
+    this->timeout.stop();
+    this->keep_alive = request->keep_alive;
+    this->current = std::make_shared<exchange>(self);
+    this->options->on_request(std::move(*request), this->current);
+}
+
+auto server_connection::reject(std::error_code error) -> void
+{
+    if (this->options->on_bad_request) {
+        this->options->on_bad_request(error);
+    }
+    this->keep_alive = false;
+    const auto status = error == http1_errc::timed_out ? 408 : status_of(error);
+    this->current = std::make_shared<exchange>(this->shared_from_this());
+    this->current->respond(status, {}, "");
+}
+
+auto server_connection::exchange_done(bool keeps_alive) -> void
+{
+    this->current.reset();
+    if (!keeps_alive) {
+        this->timeout.stop();
+        this->is_closed = true;
+        // Unread bytes would turn the close into a reset, which can destroy
+        // the answer on its way.
+        this->stream->close_when_sent();
+        if (this->options->on_closed) {
+            this->options->on_closed(this->shared_from_this());
+        }
+        return;
+    }
+    this->parser.set_limits(this->options->limits());
+    this->stream->resume_reading();
+    this->restart_timer();
+    if (this->parser.buffered_bytes() > 0) {
+        this->owner.post([self = this->shared_from_this()]() {
+            if (!self->is_closed && !self->current) {
+                self->read_next();
+            }
+        });
+    }
+}
+
+auto server_connection::on_end() -> void
+{
+    this->close();
+}
+
+auto server_connection::close_if_idle() -> void
+{
+    if (!this->current && !this->parser.is_within_request()) {
+        this->close();
+    }
+}
+
+auto server_connection::close() -> void
+{
+    if (std::exchange(this->is_closed, true)) {
+        return;
+    }
+    const auto self = this->shared_from_this();
+    this->timeout.stop();
+    this->stream->close();
+    if (const auto open = std::exchange(this->current, nullptr)) {
+        const auto gone = std::exchange(open->gone, nullptr);
+        open->finished = true;
+        open->connection.reset();
+        if (gone) {
+            gone();
+        }
+    }
+    if (this->options->on_closed) {
+        this->options->on_closed(self);
+    }
+}
+
+} // namespace almondtiller::http1
--- /dev/null
+++ b/src/libs/http1/server_connection.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "event/tcp_stream.h"
+#include "event/timer.h"
+#include "http1/parser.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace almondtiller::http1 {
+
+class server_connection;
+
+/// One request of a caller and the answer to it. Exactly one answer is
+/// started; later calls are ignored.
+class exchange : public std::enable_shared_from_this<exchange>
+{
+public:
+    explicit exchange(std::shared_ptr<server_connection> connection);
+
+    /// Sends a whole answer.
+    auto respond(int status, const header_list& headers, std::string_view body)
+        -> void;
+
+    /// Starts an answer whose body follows in pieces; Content-Length is sent
+    /// where \a length is known, chunks otherwise.
+    auto start(int status, const header_list& headers,
+               std::optional<std::uint64_t> length) -> void;
+    auto send(std::string_view piece) -> void;
+    auto finish() -> void;
+
+    /// Closes the connection without completing the answer.
+    auto abort() -> void;
+
+    /// \param action Called once when the caller leaves before the end of the
+    ///        answer.
+    auto on_gone(std::function<void()> action) -> void;
+
+    /// \return Bytes that the caller has not taken yet.
+    [[nodiscard]] auto pending_bytes() const -> std::size_t;
+    auto on_drained(std::function<void()> action) -> void;
+
+    [[nodiscard]] auto is_started() const -> bool;
+    [[nodiscard]] auto is_finished() const -> bool;
+
+private:
+    friend class server_connection;
+    auto write_head(int status, const header_list& headers) -> std::string;
+    auto complete() -> void;
+
+    std::shared_ptr<server_connection> connection;
+    std::function<void()> gone;
+    bool started = false;
+    bool finished = false;
+    bool chunked = false;
+};
+
+/// What the connections of one listener share.
+struct server_options
+{
+    std::function<void(request_message, std::shared_ptr<exchange>)> on_request;
+    /// Asked at each request: the limits in force.
+    std::function<parser_limits()> limits;
+    std::function<core::milliseconds()> header_timeout;
+    std::function<core::milliseconds()> idle_timeout;
+    /// While true, each answer ends its connection.
+    std::function<bool()> is_draining;
+    /// Called once, when the connection has ended.
+    std::function<void(const std::shared_ptr<server_connection>&)> on_closed;
+    /// A request that was refused for its form.
+    std::function<void(std::error_code)> on_bad_request;
+};
+
+/// A caller's connection: reads one request at a time; later ones wait.
+class server_connection : public std::enable_shared_from_this<server_connection>
+{
+public:
+    server_connection(event::loop& owner,
+                      std::shared_ptr<event::tcp_stream> stream,
+                      std::shared_ptr<const server_options> options);
+
+    auto start() -> void;
+
+    /// Closes now if no request is under way or half read.
+    auto close_if_idle() -> void;
+
+    auto close() -> void;
+
+private:
+    friend class exchange;
+    auto on_bytes(std::string_view bytes) -> void;
+    auto on_end() -> void;
+    auto read_next() -> void;
+    auto reject(std::error_code error) -> void;
+    auto exchange_done(bool keep_alive) -> void;
+    auto restart_timer() -> void;
+
+    event::loop& owner;
+    std::shared_ptr<event::tcp_stream> stream;
+    std::shared_ptr<const server_options> options;
+    request_parser parser;
+    std::shared_ptr<exchange> current;
+    event::timer timeout;
+    bool keep_alive = true;
+    bool is_closed = false;
+    bool is_reading_request = false;
+};
+
+} // namespace almondtiller::http1
--- /dev/null
+++ b/src/services/gateway/dispatch_client.cpp
@@ -0,0 +1,375 @@
+#include "services/gateway/dispatch_client.h"
+
+#include "routing/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+constexpr auto stage_topic = "stage";
+constexpr auto place_topic = "place";
+constexpr auto report_topic = "report";
+constexpr auto free_topic = "free";
+/// Reports wait that long for others to the same node.
+constexpr auto report_delay = core::milliseconds(4);
+constexpr auto report_limit = core::milliseconds(2000);
+/// An owner answers every message in time, as it ends what is overdue.
+constexpr auto answer_slack = core::milliseconds(500);
+/// After that many owners the work stays on this node.
+constexpr auto most_owners = 3;
+
+auto limit_until(core::time_point deadline, core::time_point now)
+    -> core::milliseconds
+{
+    return std::max(
+               std::chrono::duration_cast<core::milliseconds>(deadline - now),
+               core::milliseconds(0)) +
+           answer_slack;
+}
+
+} // namespace
+
+dispatch_client::dispatch_client(event::loop& loop, core::node_id node,
+                                 peer_mesh& peers, dispatcher& own,
+                                 event_log& lines)
+    : owner(loop),
+      self(std::move(node)),
+      mesh(peers),
+      local(own),
+      log(lines),
+      report_timer(loop, [this]() { this->send_reports(); })
+{}
+
+auto dispatch_client::set_candidates(std::vector<core::node_id> nodes) -> void
+{
+    if (nodes == this->candidates) {
+        return;
+    }
+    this->candidates = std::move(nodes);
+    for (auto& [request, entry] : this->placed) {
+        if (entry.owner != this->owner_of(entry.message.service)) {
+            this->announce(entry);
+        }
+    }
+}
+
+auto dispatch_client::owner_of(const serving::service_name& service) const
+    -> core::node_id
+{
+    const auto key = routing::placement_hash(service.str());
+    auto best = this->self;
+    auto best_weight = std::uint64_t(0);
+    for (const auto& node : this->candidates) {
+        const auto weight = routing::rendezvous_weight(
+            key, routing::placement_hash(node.str()));
+        if (weight > best_weight) {
+            best = node;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+auto dispatch_client::choose_owner(pending& item) -> void
+{
+    auto chosen = this->owner_of(item.service);
+    const auto is_lost = chosen == item.owner || !this->mesh.is_alive(chosen);
+    if (item.attempts >= most_owners ||
+        (chosen != this->self && item.attempts > 0 && is_lost)) {
+        chosen = this->self;
+    }
+    ++item.attempts;
+    item.owner = chosen;
+}
+
+auto dispatch_client::resubmit(std::uint64_t number) -> void
+{
+    const auto found = this->work.find(number);
+    if (found == this->work.end()) {
+        return;
+    }
+    this->log.write(severity::notice, "dispatch_owner_lost",
+                    {{"service", found->second.service.str()},
+                     {"owner", found->second.owner.str()}});
+    const auto submit = found->second.submit;
+    submit();
+}
+
+auto dispatch_client::run_stage(const serving::service_name& service,
+                                dispatch::stage_work stage_work,
+                                dispatcher::stage_done done) -> std::uint64_t
+{
+    const auto number = ++this->last_number;
+    auto& item = this->work[number];
+    item.service = service;
+    item.submit = [this, number, kept = std::move(stage_work),
+                   done = std::move(done)]() {
+        this->submit_stage(number, kept, done);
+    };
+    const auto submit = item.submit;
+    submit();
+    return number;
+}
+
+auto dispatch_client::submit_stage(std::uint64_t number,
+                                   const dispatch::stage_work& stage_work,
+                                   const dispatcher::stage_done& done) -> void
+{
+    auto& item = this->work[number];
+    this->choose_owner(item);
+    const auto service = item.service;
+    const auto finish = [this, number,
+                         done](const dispatch::stage_outcome& outcome) {
+        if (this->work.erase(number) > 0) {
+            done(outcome);
+        }
+    };
+    if (item.owner == this->self) {
+        const auto ticket =
+            this->local.submit_stage(service, stage_work, finish);
+        const auto kept = this->work.find(number);
+        if (kept != this->work.end()) {
+            kept->second.withdraw = [this, service, ticket]() {
+                this->local.cancel_stage(service, ticket);
+            };
+        }
+        return;
+    }
+    const auto now = this->owner.now();
+    const auto call = this->mesh.call(
+        item.owner, stage_topic, encode({service, stage_work}, now),
+        limit_until(stage_work.deadline, now),
+        [this, number, finish](const core::result<std::string>& answer) {
+            const auto outcome =
+                answer ? decode_stage_outcome(answer.value())
+                       : core::result<dispatch::stage_outcome>(answer.error());
+            if (outcome) {
+                finish(outcome.value());
+            } else {
+                this->resubmit(number);
+            }
+        });
+    item.withdraw = [this, call]() {
+        this->mesh.cancel(call);
+    };
+}
+
+auto dispatch_client::place(const serving::service_name& service,
+                            dispatch::placement_request request,
+                            dispatcher::place_done done) -> std::uint64_t
+{
+    const auto number = ++this->last_number;
+    auto& item = this->work[number];
+    item.service = service;
+    item.submit = [this, number,
+                   message = place_message{service, std::move(request), {}},
+                   done = std::move(done)]() {
+        this->submit_place(number, message, done);
+    };
+    const auto submit = item.submit;
+    submit();
+    return number;
+}
+
+auto dispatch_client::submit_place(std::uint64_t number,
+                                   const place_message& message,
+                                   const dispatcher::place_done& done) -> void
+{
+    auto& item = this->work[number];
+    this->choose_owner(item);
+    const auto node = item.owner;
+    const auto finish = [this, number, message, node,
+                         done](const dispatch::placement_outcome& outcome) {
+        const auto is_wanted = this->work.erase(number) > 0;
+        if (outcome.status == dispatch::placement_status::granted) {
+            auto kept = active{message, node};
+            kept.message.placed_at = outcome.upstream.id;
+            this->placed[message.request.request] = std::move(kept);
+        }
+        if (is_wanted) {
+            done(outcome);
+        } else {
+            this->report_ended(message.service, message.request.request,
+                               dispatch::work_end::given_up);
+        }
+    };
+    if (node == this->self) {
+        item.withdraw = [this, service = message.service,
+                         request = message.request.request]() {
+            this->local.cancel_placement(service, request);
+        };
+        this->local.submit_placement(message, this->self, finish);
+        return;
+    }
+    const auto now = this->owner.now();
+    const auto call = this->mesh.call(
+        node, place_topic, encode(message, now),
+        limit_until(message.request.deadline, now),
+        [this, number, finish](const core::result<std::string>& answer) {
+            const auto outcome =
+                answer
+                    ? decode_placement_outcome(answer.value())
+                    : core::result<dispatch::placement_outcome>(answer.error());
+            if (outcome) {
+                finish(outcome.value());
+            } else {
+                this->resubmit(number);
+            }
+        });
+    item.withdraw = [this, call]() {
+        this->mesh.cancel(call);
+    };
+}
+
+auto dispatch_client::cancel(std::uint64_t number) -> void
+{
+    const auto found = this->work.find(number);
+    if (found == this->work.end()) {
+        return;
+    }
+    const auto withdraw = std::move(found->second.withdraw);
+    this->work.erase(found);
+    if (withdraw) {
+        withdraw();
+    }
+}
+
+auto dispatch_client::announce(active& entry) -> void
+{
+    const auto node = this->owner_of(entry.message.service);
+    entry.owner = node;
+    if (node == this->self) {
+        this->local.submit_placement(entry.message, this->self,
+                                     [](const auto&) {});
+        return;
+    }
+    this->mesh.call(node, place_topic, encode(entry.message, this->owner.now()),
+                    report_limit, [](const auto&) {
+                        // Without it the new owner knows one request less
+                        // until that ends.
+                    });
+}
+
+auto dispatch_client::report_started(const serving::service_name& service,
+                                     const core::request_id& request) -> void
+{
+    this->queue_report({service, request, true, false, {}});
+}
+
+auto dispatch_client::report_ended(const serving::service_name& service,
+                                   const core::request_id& request,
+                                   dispatch::work_end how) -> void
+{
+    this->queue_report({service, request, false, true, how});
+    this->placed.erase(request);
+}
+
+auto dispatch_client::queue_report(const report_message& message) -> void
+{
+    const auto entry = this->placed.find(message.request);
+    if (entry == this->placed.end()) {
+        return;
+    }
+    if (entry->second.owner == this->self) {
+        this->local.report(message);
+        return;
+    }
+    this->reports[entry->second.owner].push_back(message);
+    if (!std::exchange(this->is_reporting, true)) {
+        this->report_timer.start(report_delay);
+    }
+}
+
+auto dispatch_client::send_reports() -> void
+{
+    this->is_reporting = false;
+    for (const auto& [node, messages] : std::exchange(this->reports, {})) {
+        this->mesh.call(node, report_topic, encode(messages), report_limit,
+                        [](const auto&) {
+                            // A lost owner forgets all that it had placed.
+                        });
+    }
+}
+
+auto dispatch_client::free_results(const serving::service_name& service,
+                                   std::vector<std::string> handles) -> void
+{
+    const auto node = this->owner_of(service);
+    if (node == this->self) {
+        this->local.free_results(service, handles);
+        return;
+    }
+    this->mesh.call(node, free_topic,
+                    encode(free_message{service, std::move(handles)}),
+                    report_limit, [](const auto&) {
+                        // Results end by themselves after their lifetime.
+                    });
+}
+
+auto serve_peers(peer_mesh& mesh, dispatcher& local, event::loop& owner) -> void
+{
+    using action = std::function<void()>;
+    mesh.handle(stage_topic,
+                [&local, &owner](const core::node_id&, const std::string& body,
+                                 const peer_mesh::reply& answer) {
+                    const auto message = decode_stage(body, owner.now());
+                    if (!message) {
+                        answer(message.error());
+                        return action();
+                    }
+                    const auto& service = message.value().service;
+                    const auto ticket = local.submit_stage(
+                        service, message.value().work,
+                        [answer](const dispatch::stage_outcome& outcome) {
+                            answer(encode(outcome));
+                        });
+                    return action([&local, service, ticket]() {
+                        local.cancel_stage(service, ticket);
+                    });
+                });
+    mesh.handle(place_topic, [&local, &owner](const core::node_id& sender,
+                                              const std::string& body,
+                                              const peer_mesh::reply& answer) {
+        const auto message = decode_place(body, owner.now());
+        if (!message) {
+            answer(message.error());
+            return action();
+        }
+        const auto service = message.value().service;
+        const auto request = message.value().request.request;
+        local.submit_placement(
+            message.value(), sender,
+            [answer](const dispatch::placement_outcome& outcome) {
+                answer(encode(outcome));
+            });
+        return action([&local, service, request]() {
+            local.cancel_placement(service, request);
+        });
+    });
+    mesh.handle(report_topic,
+                [&local](const core::node_id&, const std::string& body,
+                         const peer_mesh::reply& answer) {
+                    if (const auto messages = decode_reports(body)) {
+                        for (const auto& message : messages.value()) {
+                            local.report(message);
+                        }
+                    }
+                    answer(std::string());
+                    return action();
+                });
+    mesh.handle(free_topic,
+                [&local](const core::node_id&, const std::string& body,
+                         const peer_mesh::reply& answer) {
+                    if (const auto message = decode_free(body)) {
+                        local.free_results(message.value().service,
+                                           message.value().handles);
+                    }
+                    answer(std::string());
+                    return action();
+                });
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/dispatch_client.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "services/gateway/dispatcher.h"
+#include "services/gateway/peer_mesh.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace almondtiller::gateway {
+
+/// Brings work to the node that owns a service, wherever that is: the live
+/// node with the largest rendezvous weight for it. When the owner is lost,
+/// the work goes to the next one, and running requests are announced there.
+class dispatch_client
+{
+public:
+    dispatch_client(event::loop& owner, core::node_id self, peer_mesh& mesh,
+                    dispatcher& local, event_log& log);
+
+    /// \param candidates Nodes that may own services.
+    auto set_candidates(std::vector<core::node_id> candidates) -> void;
+
+    [[nodiscard]] auto owner_of(const serving::service_name& service) const
+        -> core::node_id;
+
+    /// Has pieces done.
+    /// \return A number for cancel().
+    auto run_stage(const serving::service_name& service,
+                   dispatch::stage_work work, dispatcher::stage_done done)
+        -> std::uint64_t;
+
+    /// Asks for an upstream.
+    /// \return A number for cancel().
+    auto place(const serving::service_name& service,
+               dispatch::placement_request request, dispatcher::place_done done)
+        -> std::uint64_t;
+
+    auto cancel(std::uint64_t number) -> void;
+
+    /// A placed request has begun to be answered.
+    auto report_started(const serving::service_name& service,
+                        const core::request_id& request) -> void;
+    /// A placed request has ended.
+    auto report_ended(const serving::service_name& service,
+                      const core::request_id& request, dispatch::work_end how)
+        -> void;
+
+    auto free_results(const serving::service_name& service,
+                      std::vector<std::string> handles) -> void;
+
+private:
+    struct pending
+    {
+        serving::service_name service;
+        core::node_id owner;
+        /// Carries the work to the owner; again after its loss.
+        std::function<void()> submit;
+        /// Takes the work back from the owner.
+        std::function<void()> withdraw;
+        int attempts = 0;
+    };
+    struct active
+    {
+        place_message message;
+        core::node_id owner;
+    };
+
+    auto submit_stage(std::uint64_t number, const dispatch::stage_work& work,
+                      const dispatcher::stage_done& done) -> void;
+    auto submit_place(std::uint64_t number, const place_message& message,
+                      const dispatcher::place_done& done) -> void;
+    auto choose_owner(pending& work) -> void;
+    auto resubmit(std::uint64_t number) -> void;
+    auto queue_report(const report_message& message) -> void;
+    auto send_reports() -> void;
+    auto announce(active& placed) -> void;
+
+    event::loop& owner;
+    core::node_id self;
+    peer_mesh& mesh;
+    dispatcher& local;
+    event_log& log;
+    std::vector<core::node_id> candidates;
+    std::map<std::uint64_t, pending> work;
+    std::map<core::request_id, active> placed;
+    std::map<core::node_id, std::vector<report_message>> reports;
+    std::uint64_t last_number = 0;
+    event::timer report_timer;
+    bool is_reporting = false;
+};
+
+/// Lets peers use the dispatcher of this node.
+auto serve_peers(peer_mesh& mesh, dispatcher& local, event::loop& owner)
+    -> void;
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/event_log.cpp
@@ -0,0 +1,114 @@
+#include "services/gateway/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <utility>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+constexpr auto buffer_bytes = std::size_t(128) << 10U;
+/// Shares of the buffer that lines of lower severity may fill.
+constexpr auto detail_share = 0.4;
+constexpr auto notice_share = 0.8;
+/// Lines of ordinary successes in a second; more cost processor time that
+/// requests need.
+constexpr auto details_per_second = 60U;
+constexpr auto flush_delay = core::milliseconds(100);
+
+auto append_value(std::string& line, const std::string& value) -> void
+{
+    if (!value.empty() && value.find_first_of(" \"\n=") == std::string::npos) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const auto letter : value) {
+        line += letter == '"' || letter == '\n' ? '\'' : letter;
+    }
+    line += '"';
+}
+
+} // namespace
+
+event_log::event_log(event::loop& loop, int target, std::string name)
+    : owner(loop),
+      descriptor(target),
+      node(std::move(name)),
+      flusher(loop, [this]() {
+          this->is_scheduled = false;
+          this->flush();
+      })
+{
+    const auto flags = fcntl(this->descriptor, F_GETFL);
+    fcntl(this->descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+auto event_log::has_room(severity level) -> bool
+{
+    if (level == severity::failure) {
+        return this->buffer.size() < buffer_bytes;
+    }
+    if (level == severity::notice) {
+        return double(this->buffer.size()) < notice_share * buffer_bytes;
+    }
+    const auto now = this->owner.now();
+    if (now - this->second_start >= std::chrono::seconds(1)) {
+        this->second_start = now;
+        this->details_in_second = 0;
+    }
+    return ++this->details_in_second <= details_per_second &&
+           double(this->buffer.size()) < detail_share * buffer_bytes;
+}
+
+auto event_log::write(severity level, std::string_view event,
+                      std::initializer_list<log_field> fields) -> void
+{
+    if (!this->has_room(level)) {
+        ++this->dropped_lines;
+        return;
+    }
+    const auto uptime = std::chrono::duration_cast<core::milliseconds>(
+        this->owner.now().time_since_epoch());
+    auto& line = this->buffer;
+    line += "ms=" + std::to_string(uptime.count()) + " node=" + this->node;
+    line += " event=";
+    line += event;
+    for (const auto& field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        append_value(line, field.value);
+    }
+    line += '\n';
+    if (!std::exchange(this->is_scheduled, true)) {
+        this->flusher.start(flush_delay);
+    }
+}
+
+auto event_log::flush() -> void
+{
+    if (this->dropped_lines > this->reported_lines) {
+        this->buffer += "node=" + this->node +
+                        " event=log_lines_dropped total=" +
+                        std::to_string(this->dropped_lines) + "\n";
+        this->reported_lines = this->dropped_lines;
+    }
+    const auto written =
+        ::write(this->descriptor, this->buffer.data(), this->buffer.size());
+    if (written > 0) {
+        this->buffer.erase(0, std::size_t(written));
+    }
+    if (!this->buffer.empty() && !std::exchange(this->is_scheduled, true)) {
+        this->flusher.start(flush_delay);
+    }
+}
+
+auto event_log::dropped() const -> std::uint64_t
+{
+    return this->dropped_lines;
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/flow_metrics.cpp
@@ -0,0 +1,61 @@
+#include "services/gateway/flow_metrics.h"
+
+namespace almondtiller::gateway {
+
+namespace {
+
+using core::metric_kind;
+
+constexpr auto requests_info = core::metric_info{
+    "almondtiller_gateway_requests_total", metric_kind::counter,
+    "Requests of callers that were read."};
+constexpr auto outcomes_info = core::metric_info{
+    "almondtiller_gateway_outcomes_total", metric_kind::counter,
+    "Requests that have ended, by outcome and reason."};
+constexpr auto repeats_info = core::metric_info{
+    "almondtiller_gateway_repeats_total", metric_kind::counter,
+    "Sends of a request beyond its first, by reason."};
+constexpr auto latency_info = core::metric_info{
+    "almondtiller_gateway_latency_seconds", metric_kind::histogram,
+    "Seconds from the reading of a request to the end of its answer."};
+
+} // namespace
+
+flow_metrics::flow_metrics(core::metrics_registry& shared)
+    : registry(shared), requests(shared.counter_for(requests_info))
+{}
+
+auto flow_metrics::count_request() -> void
+{
+    this->requests.add();
+}
+
+auto flow_metrics::count_outcome(std::string_view outcome,
+                                 std::string_view reason) -> void
+{
+    this->registry
+        .counter_for(outcomes_info, {{"outcome", std::string(outcome)},
+                                     {"reason", std::string(reason)}})
+        .add();
+}
+
+auto flow_metrics::count_repeat(std::string_view reason) -> void
+{
+    this->registry.counter_for(repeats_info, {{"reason", std::string(reason)}})
+        .add();
+}
+
+auto flow_metrics::record_latency(std::string_view outcome,
+                                  core::duration latency) -> void
+{
+    this->registry
+        .histogram_for(latency_info, {{"outcome", std::string(outcome)}})
+        .record(latency);
+}
+
+auto flow_metrics::expose() const -> std::string
+{
+    return this->registry.expose();
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/flow_metrics.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/metrics.h"
+
+#include <string_view>
+
+namespace almondtiller::gateway {
+
+/// Counters and histograms of requests, by outcome and reason.
+class flow_metrics
+{
+public:
+    explicit flow_metrics(core::metrics_registry& registry);
+
+    auto count_request() -> void;
+    auto count_outcome(std::string_view outcome, std::string_view reason)
+        -> void;
+    auto count_repeat(std::string_view reason) -> void;
+    auto record_latency(std::string_view outcome, core::duration latency)
+        -> void;
+
+    [[nodiscard]] auto expose() const -> std::string;
+
+private:
+    core::metrics_registry& registry;
+    core::counter& requests;
+};
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/peer_messages.cpp
@@ -0,0 +1,285 @@
+#include "services/gateway/peer_messages.h"
+
+#include "fleet/fleet_errc.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+using json = nlohmann::json;
+
+auto pack(const json& value) -> std::string
+{
+    auto bytes = std::string();
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+/// Decodes with \a read; a message of another form is malformed.
+template <typename T>
+auto unpack(std::string_view body, const std::function<T(const json&)>& read)
+    -> core::result<T>
+{
+    try {
+        return read(json::from_msgpack(body.begin(), body.end()));
+    } catch (const json::exception&) {
+        return make_error_code(fleet::fleet_errc::malformed_message);
+    }
+}
+
+auto left_ms(core::time_point at, core::time_point now) -> std::int64_t
+{
+    return std::chrono::duration_cast<core::milliseconds>(at - now).count();
+}
+
+auto at_ms(const json& left, core::time_point now) -> core::time_point
+{
+    return now + core::milliseconds(left.get<std::int64_t>());
+}
+
+auto item_to_json(const serving::stage_item& item) -> json
+{
+    return json::array(
+        {item.request.str(), item.stage, item.piece, item.key, item.inputs});
+}
+
+auto item_from_json(const json& value) -> serving::stage_item
+{
+    auto item = serving::stage_item();
+    item.request = core::request_id(value.at(0).get<std::string>());
+    item.stage = value.at(1).get<std::uint32_t>();
+    item.piece = value.at(2).get<std::uint32_t>();
+    item.key = value.at(3).get<std::string>();
+    item.inputs = value.at(4).get<std::vector<std::string>>();
+    return item;
+}
+
+auto address_of(const json& value) -> core::endpoint
+{
+    return core::parse_endpoint(value.get<std::string>())
+        .value_or(core::endpoint());
+}
+
+auto prompt_to_json(const std::vector<serving::prompt_part>& prompt) -> json
+{
+    auto list = json::array();
+    for (const auto& part : prompt) {
+        list.push_back(json::array({part.id, part.tokens}));
+    }
+    return list;
+}
+
+auto request_to_json(const dispatch::placement_request& request,
+                     core::time_point now) -> json
+{
+    auto inputs = json::array();
+    for (const auto& input : request.inputs) {
+        inputs.push_back(json::array({input.zone.str(), input.bytes}));
+    }
+    auto excluded = json::array();
+    for (const auto& id : request.excluded) {
+        excluded.push_back(id.str());
+    }
+    return {{"id", request.request.str()},
+            {"prompt", prompt_to_json(request.prompt)},
+            {"output", request.output_tokens},
+            {"inputs", inputs},
+            {"excluded", excluded},
+            {"due", left_ms(request.due, now)},
+            {"deadline", left_ms(request.deadline, now)},
+            {"priority", request.priority},
+            {"repeat", request.is_repeat}};
+}
+
+auto request_from_json(const json& value, core::time_point now)
+    -> dispatch::placement_request
+{
+    auto request = dispatch::placement_request();
+    request.request = core::request_id(value.at("id").get<std::string>());
+    for (const auto& part : value.at("prompt")) {
+        request.prompt.push_back(
+            {part.at(0).get<std::string>(), part.at(1).get<std::uint32_t>()});
+    }
+    request.output_tokens = value.at("output").get<std::uint32_t>();
+    for (const auto& input : value.at("inputs")) {
+        request.inputs.push_back(
+            {core::zone_name(input.at(0).get<std::string>()),
+             input.at(1).get<std::uint64_t>()});
+    }
+    for (const auto& id : value.at("excluded")) {
+        request.excluded.emplace_back(id.get<std::string>());
+    }
+    request.due = at_ms(value.at("due"), now);
+    request.deadline = at_ms(value.at("deadline"), now);
+    request.priority = value.at("priority").get<int>();
+    request.is_repeat = value.at("repeat").get<bool>();
+    return request;
+}
+
+} // namespace
+
+auto encode(const node_status& status) -> std::string
+{
+    return pack(json::array({status.is_ready, core::to_text(status.front),
+                             status.zone.str(), status.revisions}));
+}
+
+auto decode_status(std::string_view body) -> core::result<node_status>
+{
+    return unpack<node_status>(body, [](const json& value) {
+        auto status = node_status();
+        status.is_ready = value.at(0).get<bool>();
+        status.front = address_of(value.at(1));
+        status.zone = core::zone_name(value.at(2).get<std::string>());
+        status.revisions = value.at(3).get<std::vector<std::int64_t>>();
+        return status;
+    });
+}
+
+auto encode(const stage_message& message, core::time_point now) -> std::string
+{
+    auto items = json::array();
+    for (const auto& item : message.work.items) {
+        items.push_back(item_to_json(item));
+    }
+    return pack({{"service", message.service.str()},
+                 {"items", items},
+                 {"due", left_ms(message.work.due, now)},
+                 {"deadline", left_ms(message.work.deadline, now)},
+                 {"priority", message.work.priority},
+                 {"zone", message.work.zone.str()},
+                 {"bytes", message.work.result_bytes}});
+}
+
+auto decode_stage(std::string_view body, core::time_point now)
+    -> core::result<stage_message>
+{
+    return unpack<stage_message>(body, [now](const json& value) {
+        auto message = stage_message();
+        message.service =
+            serving::service_name(value.at("service").get<std::string>());
+        for (const auto& item : value.at("items")) {
+            message.work.items.push_back(item_from_json(item));
+        }
+        message.work.due = at_ms(value.at("due"), now);
+        message.work.deadline = at_ms(value.at("deadline"), now);
+        message.work.priority = value.at("priority").get<int>();
+        message.work.zone =
+            core::zone_name(value.at("zone").get<std::string>());
+        message.work.result_bytes = value.at("bytes").get<std::uint64_t>();
+        return message;
+    });
+}
+
+auto encode(const dispatch::stage_outcome& outcome) -> std::string
+{
+    return pack(json::array(
+        {int(outcome.status), outcome.handles, outcome.retry_after.count()}));
+}
+
+auto decode_stage_outcome(std::string_view body)
+    -> core::result<dispatch::stage_outcome>
+{
+    return unpack<dispatch::stage_outcome>(body, [](const json& value) {
+        auto outcome = dispatch::stage_outcome();
+        outcome.status = dispatch::stage_status(value.at(0).get<int>());
+        outcome.handles = value.at(1).get<std::vector<std::string>>();
+        outcome.retry_after =
+            core::milliseconds(value.at(2).get<std::int64_t>());
+        return outcome;
+    });
+}
+
+auto encode(const place_message& message, core::time_point now) -> std::string
+{
+    return pack({{"service", message.service.str()},
+                 {"request", request_to_json(message.request, now)},
+                 {"at", message.placed_at.str()}});
+}
+
+auto decode_place(std::string_view body, core::time_point now)
+    -> core::result<place_message>
+{
+    return unpack<place_message>(body, [now](const json& value) {
+        auto message = place_message();
+        message.service =
+            serving::service_name(value.at("service").get<std::string>());
+        message.request = request_from_json(value.at("request"), now);
+        message.placed_at =
+            core::upstream_id(value.at("at").get<std::string>());
+        return message;
+    });
+}
+
+auto encode(const dispatch::placement_outcome& outcome) -> std::string
+{
+    const auto& upstream = outcome.upstream;
+    return pack(json::array({int(outcome.status), outcome.retry_after.count(),
+                             upstream.id.str(), core::to_text(upstream.address),
+                             upstream.zone.str(), upstream.service.str()}));
+}
+
+auto decode_placement_outcome(std::string_view body)
+    -> core::result<dispatch::placement_outcome>
+{
+    return unpack<dispatch::placement_outcome>(body, [](const json& value) {
+        auto outcome = dispatch::placement_outcome();
+        outcome.status = dispatch::placement_status(value.at(0).get<int>());
+        outcome.retry_after =
+            core::milliseconds(value.at(1).get<std::int64_t>());
+        outcome.upstream.id = core::upstream_id(value.at(2).get<std::string>());
+        outcome.upstream.address = address_of(value.at(3));
+        outcome.upstream.zone = core::zone_name(value.at(4).get<std::string>());
+        outcome.upstream.service =
+            serving::service_name(value.at(5).get<std::string>());
+        return outcome;
+    });
+}
+
+auto encode(const std::vector<report_message>& messages) -> std::string
+{
+    auto list = json::array();
+    for (const auto& message : messages) {
+        list.push_back(json::array({message.service.str(),
+                                    message.request.str(), message.is_started,
+                                    message.is_ended, int(message.how)}));
+    }
+    return pack(list);
+}
+
+auto decode_reports(std::string_view body)
+    -> core::result<std::vector<report_message>>
+{
+    return unpack<std::vector<report_message>>(body, [](const json& value) {
+        auto messages = std::vector<report_message>();
+        for (const auto& entry : value) {
+            messages.push_back(
+                {serving::service_name(entry.at(0).get<std::string>()),
+                 core::request_id(entry.at(1).get<std::string>()),
+                 entry.at(2).get<bool>(), entry.at(3).get<bool>(),
+                 dispatch::work_end(entry.at(4).get<int>())});
+        }
+        return messages;
+    });
+}
+
+auto encode(const free_message& message) -> std::string
+{
+    return pack(json::array({message.service.str(), message.handles}));
+}
+
+auto decode_free(std::string_view body) -> core::result<free_message>
+{
+    return unpack<free_message>(body, [](const json& value) {
+        return free_message{
+            serving::service_name(value.at(0).get<std::string>()),
+            value.at(1).get<std::vector<std::string>>()};
+    });
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/request_flow.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/random.h"
+#include "event/timer.h"
+#include "http1/server_connection.h"
+#include "platform/upstream_messages.h"
+#include "services/gateway/dispatch_client.h"
+#include "services/gateway/event_stream.h"
+#include "services/gateway/flow_metrics.h"
+#include "services/gateway/stage_plan.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace almondtiller::gateway {
+
+/// What all requests of a node share.
+struct flow_context
+{
+    event::loop& owner;
+    const dispatch::serving_state& known;
+    dispatch_client& dispatch;
+    http1::client_pool& pool;
+    event_log& log;
+    flow_metrics& metrics;
+    core::random_source& random;
+};
+
+/// One request from its acceptance to the end of its answer: stages, the
+/// choice of an upstream, sending, passing the answer on, repeating where
+/// that is allowed. Keeps itself alive until it ends.
+class request_flow : public std::enable_shared_from_this<request_flow>
+{
+public:
+    request_flow(flow_context& shared, serving::caller_request accepted,
+                 std::shared_ptr<http1::exchange> caller,
+                 std::shared_ptr<const serving::configuration> in_force,
+                 const serving::route& route,
+                 const serving::workspace* workspace);
+
+    auto start() -> void;
+
+    /// Ends the request now because the node stops.
+    auto stop() -> void;
+
+private:
+    [[nodiscard]] auto elapsed_ms() const -> std::string;
+    [[nodiscard]] auto is_repeatable() const -> bool;
+    [[nodiscard]] auto may_repeat() const -> bool;
+    [[nodiscard]] auto home_zone() const -> core::zone_name;
+    auto choose_service() -> void;
+
+    auto run_stages() -> void;
+    auto on_stage(std::size_t stage, const dispatch::stage_outcome& outcome)
+        -> void;
+    auto restart_stages() -> void;
+    auto release(const std::vector<released_results>& results) -> void;
+
+    auto place(bool is_repeat) -> void;
+    auto on_placed(const dispatch::placement_outcome& outcome) -> void;
+    auto send(const serving::upstream& upstream) -> void;
+    auto on_head(http1::response_head head) -> void;
+    auto on_body(std::string_view bytes) -> void;
+    auto on_done(std::error_code error, bool sent) -> void;
+    auto pass_events(std::string_view bytes) -> void;
+    auto on_not_run() -> void;
+    auto on_answer() -> void;
+    auto on_broken(std::error_code error, bool sent) -> void;
+    auto on_silent() -> void;
+    auto end_attempt(dispatch::work_end how) -> void;
+
+    auto on_time_over() -> void;
+    auto on_caller_gone() -> void;
+    auto refuse(std::string_view reason, core::milliseconds retry_after)
+        -> void;
+    auto fail(int status, std::string_view reason) -> void;
+    auto break_off(std::string_view reason) -> void;
+    auto finish(std::string_view event, severity level, std::string_view reason,
+                int status) -> void;
+
+    flow_context& shared;
+    serving::caller_request request;
+    std::shared_ptr<http1::exchange> caller;
+    std::shared_ptr<const serving::configuration> config;
+    serving::route route;
+    core::workspace_name workspace;
+    int priority = 0;
+    serving::service_name service;
+    core::time_point accepted;
+    core::time_point due;
+    core::time_point deadline;
+    event::timer time_over;
+    event::timer silence;
+    std::optional<stage_plan> stages;
+    std::vector<std::uint64_t> stage_calls;
+    std::uint64_t placing = 0;
+    int stage_restarts = 0;
+
+    std::optional<serving::upstream> upstream;
+    std::shared_ptr<http1::pooled_call> call;
+    std::vector<core::upstream_id> excluded;
+    /// Sends that may have run.
+    int attempts = 0;
+    int turned_away = 0;
+    std::optional<http1::response_head> head;
+    serving::upstream_verdict verdict;
+    std::string body;
+    event_stream events;
+    bool is_stream = false;
+    bool is_over = false;
+};
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/stage_plan.cpp
@@ -0,0 +1,213 @@
+#include "services/gateway/stage_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+/// Usual wait before a stage's call and transfer of its results.
+constexpr auto usual_wait_ms = 60.0;
+
+auto as_duration(std::chrono::duration<double, std::milli> time)
+    -> core::duration
+{
+    return std::chrono::duration_cast<core::duration>(time);
+}
+
+} // namespace
+
+stage_plan::stage_plan(const serving::route& route,
+                       const serving::caller_request& from,
+                       const serving::configuration& config,
+                       core::time_point due_at, core::time_point deadline_at,
+                       int rank, core::zone_name preferred)
+    : request(from.id),
+      key(from.piece_key),
+      due(due_at),
+      deadline(deadline_at),
+      priority(rank),
+      zone(std::move(preferred))
+{
+    for (auto index = std::size_t(0); index < route.stages.size(); ++index) {
+        auto made = entry();
+        made.spec = route.stages[index];
+        made.pieces = index < from.pieces.size() ? from.pieces[index] : 0;
+        made.is_started = made.pieces == 0;
+        made.is_done = made.is_started;
+        const auto* service = config.find_service(made.spec.service);
+        if (service != nullptr && service->stages) {
+            made.own_time =
+                service->stages->call_time +
+                service->stages->item_time *
+                    double(std::min(made.pieces, service->stages->batch));
+        }
+        this->stages.push_back(std::move(made));
+    }
+    for (auto index = this->stages.size(); index-- > 0;) {
+        const auto& later = this->stages[index];
+        for (const auto before : later.spec.after) {
+            if (later.pieces == 0 || before >= this->stages.size()) {
+                continue;
+            }
+            auto& earlier = this->stages[before];
+            const auto wait =
+                std::chrono::duration<double, std::milli>(usual_wait_ms);
+            earlier.time_after = std::max(
+                earlier.time_after, later.own_time + later.time_after + wait);
+        }
+    }
+}
+
+auto stage_plan::start_ready() -> std::vector<std::size_t>
+{
+    auto ready = std::vector<std::size_t>();
+    for (auto index = std::size_t(0); index < this->stages.size(); ++index) {
+        auto& stage = this->stages[index];
+        const auto has_inputs =
+            std::all_of(stage.spec.after.begin(), stage.spec.after.end(),
+                        [this](auto before) {
+                            return before >= this->stages.size() ||
+                                   this->stages[before].is_done;
+                        });
+        if (!stage.is_started && has_inputs) {
+            stage.is_started = true;
+            ready.push_back(index);
+        }
+    }
+    return ready;
+}
+
+auto stage_plan::inputs_of(const entry& stage) const -> std::vector<std::string>
+{
+    auto handles = std::vector<std::string>();
+    for (const auto before : stage.spec.after) {
+        if (before < this->stages.size()) {
+            const auto& made = this->stages[before].handles;
+            handles.insert(handles.end(), made.begin(), made.end());
+        }
+    }
+    return handles;
+}
+
+auto stage_plan::work_of(std::size_t index) const -> dispatch::stage_work
+{
+    const auto& stage = this->stages[index];
+    auto work = dispatch::stage_work();
+    const auto inputs = this->inputs_of(stage);
+    for (auto piece = std::uint32_t(0); piece < stage.pieces; ++piece) {
+        auto item = serving::stage_item();
+        item.request = this->request;
+        item.stage = std::uint32_t(index);
+        item.piece = piece;
+        if (stage.spec.after.empty()) {
+            item.key = this->key;
+        } else {
+            item.inputs = inputs;
+        }
+        work.items.push_back(std::move(item));
+    }
+    work.due = this->due - as_duration(stage.time_after);
+    work.deadline = this->deadline - as_duration(stage.time_after);
+    work.priority = this->priority;
+    work.zone = this->zone;
+    work.result_bytes = stage.spec.result_bytes;
+    return work;
+}
+
+auto stage_plan::service_of(std::size_t index) const
+    -> const serving::service_name&
+{
+    return this->stages[index].spec.service;
+}
+
+auto stage_plan::has_consumer(std::size_t index) const -> bool
+{
+    return std::any_of(
+        this->stages.begin(), this->stages.end(), [index](const auto& other) {
+            return other.pieces > 0 &&
+                   std::find(other.spec.after.begin(), other.spec.after.end(),
+                             index) != other.spec.after.end();
+        });
+}
+
+auto stage_plan::is_consumed_later(std::size_t index) const -> bool
+{
+    return std::any_of(
+        this->stages.begin(), this->stages.end(), [index](const auto& other) {
+            return !other.is_done &&
+                   std::find(other.spec.after.begin(), other.spec.after.end(),
+                             index) != other.spec.after.end();
+        });
+}
+
+auto stage_plan::release(std::size_t index) -> released_results
+{
+    auto& stage = this->stages[index];
+    return {stage.spec.service, std::exchange(stage.handles, {})};
+}
+
+auto stage_plan::on_done(std::size_t index, std::vector<std::string> handles)
+    -> std::vector<released_results>
+{
+    auto& stage = this->stages[index];
+    stage.is_done = true;
+    stage.handles = std::move(handles);
+    auto released = std::vector<released_results>();
+    for (const auto before : stage.spec.after) {
+        if (before < this->stages.size() &&
+            !this->stages[before].handles.empty() &&
+            !this->is_consumed_later(before)) {
+            released.push_back(this->release(before));
+        }
+    }
+    return released;
+}
+
+auto stage_plan::is_complete() const -> bool
+{
+    return std::all_of(this->stages.begin(), this->stages.end(),
+                       [](const auto& stage) { return stage.is_done; });
+}
+
+auto stage_plan::inputs() const -> std::vector<std::string>
+{
+    auto handles = std::vector<std::string>();
+    for (auto index = std::size_t(0); index < this->stages.size(); ++index) {
+        const auto& made = this->stages[index].handles;
+        if (!this->has_consumer(index)) {
+            handles.insert(handles.end(), made.begin(), made.end());
+        }
+    }
+    return handles;
+}
+
+auto stage_plan::input_bytes() const -> std::vector<std::uint64_t>
+{
+    auto sizes = std::vector<std::uint64_t>();
+    for (auto index = std::size_t(0); index < this->stages.size(); ++index) {
+        const auto& stage = this->stages[index];
+        if (!this->has_consumer(index)) {
+            sizes.insert(sizes.end(), stage.handles.size(),
+                         stage.spec.result_bytes);
+        }
+    }
+    return sizes;
+}
+
+auto stage_plan::reset() -> std::vector<released_results>
+{
+    auto released = std::vector<released_results>();
+    for (auto index = std::size_t(0); index < this->stages.size(); ++index) {
+        auto& stage = this->stages[index];
+        if (!stage.handles.empty()) {
+            released.push_back(this->release(index));
+        }
+        stage.is_started = stage.pieces == 0;
+        stage.is_done = stage.is_started;
+    }
+    return released;
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/store_follower.cpp
@@ -0,0 +1,362 @@
+#include "services/gateway/store_follower.h"
+
+#include "platform/adapter_errc.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+constexpr auto snapshot_topic = "snapshot";
+constexpr auto snapshot_limit = core::milliseconds(1000);
+/// Pause between watches of upstreams and nodes, whose changes come together.
+constexpr auto batch_pause = core::milliseconds(150);
+/// Each node adds that much to how long a watch may wait, so that the fleet
+/// as a whole asks about once in that time; bounds beside it. A watch that
+/// went silent is found when another node's ends.
+constexpr auto wait_per_node = core::milliseconds(1000);
+constexpr auto shortest_wait = core::milliseconds(2000);
+constexpr auto longest_wait = core::milliseconds(25000);
+/// A watch that is that old when a peer knows more has missed a change.
+constexpr auto silent_watch = core::milliseconds(300);
+/// Entries that are missing so soon after a failure of the store may come
+/// back.
+constexpr auto distrust_time = core::milliseconds(2500);
+constexpr auto expiry_interval = core::milliseconds(200);
+constexpr auto announce_retry = core::milliseconds(500);
+
+auto index_of(adapter::object_kind kind) -> std::size_t
+{
+    return std::size_t(kind);
+}
+
+} // namespace
+
+store_follower::store_follower(event::loop& loop, http1::client_pool& calls,
+                               const core::endpoint& address,
+                               dispatch::serving_state& state, peer_mesh& peers,
+                               event_log& lines,
+                               std::function<void()> on_changed)
+    : owner(loop),
+      pool(calls),
+      store(address),
+      known(state),
+      mesh(peers),
+      log(lines),
+      changed(std::move(on_changed)),
+      announce_timer(loop, [this]() { this->put_entry(false); }),
+      expiry(loop, [this]() {
+          if (this->known.expire(this->owner.now())) {
+              this->log.write(severity::notice, "upstreams_expired", {});
+              this->changed();
+          }
+      })
+{
+    using adapter::object_kind;
+    const auto make = [this](object_kind kind, core::milliseconds pause,
+                             store_mirror::hooks hooks) {
+        hooks.watch_wait = [this]() {
+            return this->wait_of_watches();
+        };
+        this->mirrors[index_of(kind)] = std::make_unique<store_mirror>(
+            this->owner, this->pool, this->store, kind, pause, this->log,
+            std::move(hooks));
+    };
+    make(object_kind::configurations, core::milliseconds(0),
+         {nullptr, [this](const auto&) { this->on_configuration(); },
+          [this]() {
+              this->on_configuration();
+          }});
+    make(object_kind::upstreams, batch_pause,
+         {nullptr,
+          [this](const auto& changes) { this->on_upstream_changes(changes); },
+          [this]() {
+              this->on_upstream_list();
+          }});
+    make(object_kind::evacuations, core::milliseconds(0),
+         {nullptr, [this](const auto&) { this->on_evacuations(); },
+          [this]() {
+              this->on_evacuations();
+          }});
+    make(object_kind::nodes, batch_pause,
+         {nullptr, [this](const auto&) { this->on_nodes(); },
+          [this]() {
+              this->on_nodes();
+          }});
+    this->mesh.handle(snapshot_topic, [this](const core::node_id&,
+                                             const std::string& body,
+                                             const peer_mesh::reply& answer) {
+        const auto kind = std::size_t(std::strtoul(body.c_str(), nullptr, 10));
+        if (kind < kinds) {
+            answer(adapter::encode_page(this->mirrors[kind]->objects(),
+                                        this->mirrors[kind]->revision()));
+        } else {
+            answer(std::string());
+        }
+        return std::function<void()>();
+    });
+}
+
+auto store_follower::start() -> void
+{
+    for (auto& mirror : this->mirrors) {
+        mirror->start();
+    }
+    this->expiry.start_repeating(expiry_interval, expiry_interval);
+}
+
+auto store_follower::mirror(adapter::object_kind kind) -> store_mirror&
+{
+    return *this->mirrors[index_of(kind)];
+}
+
+auto store_follower::wait_of_watches() const -> core::milliseconds
+{
+    const auto nodes = std::int64_t(this->mesh.peers().size() + 1);
+    return std::clamp(wait_per_node * nodes, shortest_wait, longest_wait);
+}
+
+auto store_follower::is_trusted() const -> bool
+{
+    const auto& mirror =
+        *this->mirrors[index_of(adapter::object_kind::upstreams)];
+    const auto failed = mirror.last_failure();
+    return failed == core::time_point() ||
+           this->owner.now() - failed > distrust_time;
+}
+
+auto store_follower::revisions() const -> std::vector<std::int64_t>
+{
+    auto numbers = std::vector<std::int64_t>();
+    for (const auto& mirror : this->mirrors) {
+        numbers.push_back(mirror->has_list() ? mirror->revision() : 0);
+    }
+    return numbers;
+}
+
+auto store_follower::is_complete() const -> bool
+{
+    using adapter::object_kind;
+    return this->known.config() != nullptr &&
+           this->mirrors[index_of(object_kind::upstreams)]->has_list() &&
+           this->mirrors[index_of(object_kind::evacuations)]->has_list();
+}
+
+auto store_follower::on_configuration() -> void
+{
+    const auto& objects =
+        this->mirror(adapter::object_kind::configurations).objects();
+    const auto found = objects.find(adapter::configuration_name);
+    if (found == objects.end()) {
+        return;
+    }
+    auto decoded = adapter::decode_configuration(found->second);
+    if (!decoded) {
+        this->log.write(severity::failure, "configuration_unreadable",
+                        {{"error", decoded.error().message()},
+                         {"revision", std::to_string(found->second.revision)}});
+        return;
+    }
+    const auto version = decoded.value().version;
+    const auto routes = decoded.value().routes.size();
+    if (this->known.apply(std::make_shared<const serving::configuration>(
+            std::move(decoded.value())))) {
+        this->log.write(severity::notice, "configuration_in_force",
+                        {{"version", std::to_string(version)},
+                         {"revision", std::to_string(found->second.revision)},
+                         {"routes", std::to_string(routes)}});
+        this->changed();
+    }
+}
+
+auto store_follower::take_upstream(const adapter::stored_object& object) -> bool
+{
+    const auto entry = adapter::decode_upstream(object);
+    if (!entry) {
+        this->log.write(
+            severity::notice, "upstream_entry_rejected",
+            {{"upstream", object.name}, {"error", entry.error().message()}});
+        return false;
+    }
+    const auto& upstream = entry.value().upstream;
+    if (!this->known.update(upstream, entry.value().beat, this->owner.now())) {
+        return false;
+    }
+    this->log.write(severity::notice, "upstream_changed",
+                    {{"upstream", upstream.id.str()},
+                     {"service", upstream.service.str()},
+                     {"zone", upstream.zone.str()},
+                     {"draining", upstream.is_draining ? "yes" : "no"},
+                     {"cold_ms", std::to_string(upstream.cold_left.count())}});
+    return true;
+}
+
+auto store_follower::on_upstream_changes(
+    const std::vector<adapter::object_change>& changes) -> void
+{
+    auto is_changed = false;
+    for (const auto& change : changes) {
+        if (!change.is_removed) {
+            is_changed = this->take_upstream(change.object) || is_changed;
+            continue;
+        }
+        const auto id = core::upstream_id(change.object.name);
+        const auto trusted = this->is_trusted();
+        is_changed =
+            this->known.remove(id, trusted, this->owner.now()) || is_changed;
+        this->log.write(
+            severity::notice, "upstream_removed",
+            {{"upstream", id.str()}, {"trusted", trusted ? "yes" : "no"}});
+    }
+    if (is_changed) {
+        this->changed();
+    }
+}
+
+auto store_follower::on_upstream_list() -> void
+{
+    auto listed = std::set<core::upstream_id>();
+    auto is_changed = false;
+    for (const auto& [name, object] :
+         this->mirror(adapter::object_kind::upstreams).objects()) {
+        listed.emplace(name);
+        is_changed = this->take_upstream(object) || is_changed;
+    }
+    is_changed =
+        this->known.retain(listed, this->is_trusted(), this->owner.now()) ||
+        is_changed;
+    if (is_changed) {
+        this->changed();
+    }
+}
+
+auto store_follower::on_evacuations() -> void
+{
+    auto zones = std::set<core::zone_name>();
+    auto text = std::string();
+    for (const auto& [name, object] :
+         this->mirror(adapter::object_kind::evacuations).objects()) {
+        zones.emplace(name);
+        text += (text.empty() ? "" : ",") + name;
+    }
+    if (this->known.set_evacuated(std::move(zones))) {
+        this->log.write(severity::notice, "evacuated_zones", {{"zones", text}});
+        this->changed();
+    }
+}
+
+auto store_follower::on_nodes() -> void
+{
+    auto members = std::vector<adapter::node_entry>();
+    for (const auto& [name, object] :
+         this->mirror(adapter::object_kind::nodes).objects()) {
+        if (const auto entry = adapter::decode_node(object)) {
+            members.push_back(entry.value());
+        }
+    }
+    this->mesh.set_members(members);
+}
+
+auto store_follower::on_peer_revisions(
+    const core::node_id& peer, const std::vector<std::int64_t>& revisions)
+    -> void
+{
+    const auto now = this->owner.now();
+    for (auto kind = std::size_t(0); kind < std::min(revisions.size(), kinds);
+         ++kind) {
+        auto& mirror = *this->mirrors[kind];
+        if (revisions[kind] <= mirror.revision()) {
+            this->fetched[kind] = now;
+            continue;
+        }
+        if (now - this->fetched[kind] > silent_watch) {
+            this->fetched[kind] = now;
+            this->fetch_from(peer, kind);
+        }
+    }
+}
+
+auto store_follower::fetch_from(const core::node_id& peer, std::size_t kind)
+    -> void
+{
+    this->mesh.call(
+        peer, snapshot_topic, std::to_string(kind), snapshot_limit,
+        [this, peer, kind](const core::result<std::string>& answer) {
+            auto page =
+                answer ? adapter::decode_page(answer.value())
+                       : core::result<adapter::object_page>(answer.error());
+            if (!page) {
+                return;
+            }
+            auto& mirror = *this->mirrors[kind];
+            const auto revision = page.value().revision;
+            if (revision <= mirror.revision()) {
+                return;
+            }
+            this->log.write(severity::notice, "adopted_from_peer",
+                            {{"peer", peer.str()},
+                             {"kind", std::to_string(kind)},
+                             {"revision", std::to_string(revision)},
+                             {"had", std::to_string(mirror.revision())}});
+            mirror.adopt(revision, std::move(page.value().objects));
+            mirror.nudge(silent_watch);
+        });
+}
+
+auto store_follower::announce(const adapter::node_entry& entry) -> void
+{
+    this->own = entry;
+    this->put_entry(false);
+}
+
+auto store_follower::put_entry(bool exists) -> void
+{
+    if (this->is_withdrawn) {
+        return;
+    }
+    const auto name = this->own.node.str();
+    const auto body = adapter::encode_node(this->own);
+    const auto kind = adapter::object_kind::nodes;
+    auto status = std::make_shared<int>(0);
+    auto hooks = http1::pool_hooks();
+    hooks.on_head = [status](const http1::response_head& head) {
+        *status = head.status;
+    };
+    hooks.on_done = [this, status](std::error_code error, bool) {
+        const auto refused = error ? error : adapter::store_error(*status);
+        if (refused == adapter::adapter_errc::conflict) {
+            this->put_entry(true);
+        } else if (refused) {
+            this->log.write(severity::notice, "announce_failed",
+                            {{"error", refused.message()}});
+            this->announce_timer.start(announce_retry);
+        }
+    };
+    this->pool.call({"store", this->store},
+                    exists
+                        ? adapter::encode_replace(this->store, kind, name, body)
+                        : adapter::encode_create(this->store, kind, name, body),
+                    {}, std::move(hooks));
+}
+
+auto store_follower::withdraw(const core::node_id& node) -> void
+{
+    this->is_withdrawn = true;
+    this->announce_timer.stop();
+    auto hooks = http1::pool_hooks();
+    hooks.on_done = [this](std::error_code error, bool) {
+        if (error) {
+            this->log.write(severity::notice, "withdraw_failed",
+                            {{"error", error.message()}});
+        }
+    };
+    this->pool.call({"store", this->store},
+                    adapter::encode_remove(
+                        this->store, adapter::object_kind::nodes, node.str()),
+                    {}, std::move(hooks));
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/store_follower.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "dispatch/serving_state.h"
+#include "services/gateway/peer_mesh.h"
+#include "services/gateway/peer_messages.h"
+#include "services/gateway/store_mirror.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace almondtiller::gateway {
+
+/// Brings what the platform's store holds into the serving state, from the
+/// store itself or, where it turns this node away, from peers that have newer
+/// revisions.
+class store_follower
+{
+public:
+    /// \param on_changed The serving state has changed.
+    store_follower(event::loop& owner, http1::client_pool& calls,
+                   const core::endpoint& store, dispatch::serving_state& known,
+                   peer_mesh& mesh, event_log& log,
+                   std::function<void()> on_changed);
+
+    auto start() -> void;
+
+    /// \return The revision of each kind, by object_kind.
+    [[nodiscard]] auto revisions() const -> std::vector<std::int64_t>;
+
+    /// A peer has said which revisions it has.
+    auto on_peer_revisions(const core::node_id& peer,
+                           const std::vector<std::int64_t>& revisions) -> void;
+
+    /// \return Whether enough is known to serve.
+    [[nodiscard]] auto is_complete() const -> bool;
+
+    /// Registers this node, again until it has worked.
+    auto announce(const adapter::node_entry& entry) -> void;
+    /// Takes the own registration back.
+    auto withdraw(const core::node_id& node) -> void;
+
+private:
+    static constexpr auto kinds = std::size_t(4);
+
+    auto mirror(adapter::object_kind kind) -> store_mirror&;
+    auto wait_of_watches() const -> core::milliseconds;
+    [[nodiscard]] auto is_trusted() const -> bool;
+    auto on_configuration() -> void;
+    auto on_upstream_changes(const std::vector<adapter::object_change>& changes)
+        -> void;
+    auto on_upstream_list() -> void;
+    auto take_upstream(const adapter::stored_object& object) -> bool;
+    auto on_evacuations() -> void;
+    auto on_nodes() -> void;
+    auto fetch_from(const core::node_id& peer, std::size_t kind) -> void;
+    auto put_entry(bool exists) -> void;
+
+    event::loop& owner;
+    http1::client_pool& pool;
+    core::endpoint store;
+    dispatch::serving_state& known;
+    peer_mesh& mesh;
+    event_log& log;
+    std::function<void()> changed;
+    std::array<std::unique_ptr<store_mirror>, kinds> mirrors;
+    std::array<core::time_point, kinds> fetched;
+    adapter::node_entry own;
+    bool is_withdrawn = false;
+    event::timer announce_timer;
+    event::timer expiry;
+};
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/store_mirror.cpp
@@ -0,0 +1,275 @@
+#include "services/gateway/store_mirror.h"
+
+#include "platform/adapter_errc.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+/// An answer of the store that takes longer is given up. Slow stores still
+/// answer within some hundred milliseconds.
+constexpr auto call_limit = core::milliseconds(1500);
+constexpr auto shortest_backoff = core::milliseconds(100);
+constexpr auto longest_backoff = core::milliseconds(800);
+constexpr auto failure_status = 0;
+
+} // namespace
+
+store_mirror::store_mirror(event::loop& loop, http1::client_pool& calls,
+                           core::endpoint address, adapter::object_kind kind,
+                           core::milliseconds between, event_log& lines,
+                           hooks hooked)
+    : owner(loop),
+      pool(calls),
+      store(std::move(address)),
+      object_kind(kind),
+      pause(between),
+      log(lines),
+      called(std::move(hooked)),
+      next(loop, [this]() { this->read(); }),
+      limit(loop, [this]() {
+          if (const auto slow = std::exchange(this->active, nullptr)) {
+              slow->cancel();
+          }
+          this->fail(failure_status, "no_answer");
+      })
+{}
+
+auto store_mirror::start() -> void
+{
+    this->read();
+}
+
+auto store_mirror::read() -> void
+{
+    if (this->must_list) {
+        this->incoming.clear();
+        this->list("");
+    } else {
+        this->watch();
+    }
+}
+
+auto store_mirror::call(std::string request, core::milliseconds most,
+                        std::function<void(int, std::string)> done) -> void
+{
+    ++this->made;
+    this->called_at = this->owner.now();
+    this->limit.start(most);
+    auto body = std::make_shared<std::string>();
+    auto status = std::make_shared<int>(failure_status);
+    auto called_back = http1::pool_hooks();
+    called_back.on_head = [status](const http1::response_head& head) {
+        *status = head.status;
+    };
+    called_back.on_body = [body](std::string_view bytes) {
+        *body += bytes;
+    };
+    called_back.on_done = [this, body, status, done = std::move(done)](
+                              std::error_code error, bool) {
+        this->limit.stop();
+        this->active.reset();
+        done(error ? failure_status : *status, std::move(*body));
+    };
+    this->active = this->pool.call({"store", this->store}, std::move(request),
+                                   {}, std::move(called_back));
+}
+
+auto store_mirror::list(const std::string& after) -> void
+{
+    this->call(adapter::encode_list(this->store, this->object_kind, after),
+               call_limit, [this](int status, const std::string& body) {
+                   this->on_page(status, body);
+               });
+}
+
+auto store_mirror::on_page(int status, const std::string& body) -> void
+{
+    if (adapter::store_error(status)) {
+        this->fail(status, "list_refused");
+        return;
+    }
+    auto page = adapter::decode_page(body);
+    if (!page) {
+        this->fail(status, "list_unreadable");
+        return;
+    }
+    this->count_unreadable(page.value().unreadable);
+    for (auto& object : page.value().objects) {
+        this->incoming[object.name] = std::move(object);
+    }
+    if (!page.value().next_after.empty()) {
+        this->list(page.value().next_after);
+        return;
+    }
+    this->must_list = false;
+    this->succeed();
+    if (page.value().revision >= this->current_revision) {
+        this->current = std::exchange(this->incoming, {});
+        this->current_revision = page.value().revision;
+        this->listed = true;
+        this->called.on_list();
+    }
+    this->watch();
+}
+
+auto store_mirror::watch() -> void
+{
+    const auto wait = this->called.watch_wait();
+    this->call(adapter::encode_watch(this->store, this->object_kind,
+                                     this->current_revision, wait),
+               wait + call_limit, [this](int status, const std::string& body) {
+                   this->on_watched(status, body);
+               });
+}
+
+auto store_mirror::on_watched(int status, const std::string& body) -> void
+{
+    const auto error = adapter::store_error(status);
+    if (error == adapter::adapter_errc::history_gone) {
+        this->must_list = true;
+        this->log.write(severity::notice, "store_history_gone",
+                        {{"kind", std::to_string(int(this->object_kind))},
+                         {"revision", std::to_string(this->current_revision)}});
+        this->read();
+        return;
+    }
+    if (error) {
+        this->fail(status, "watch_refused");
+        return;
+    }
+    auto seen = adapter::decode_changes(body);
+    if (!seen) {
+        this->must_list = true;
+        this->fail(status, "watch_unreadable");
+        return;
+    }
+    this->succeed();
+    this->count_unreadable(seen.value().unreadable);
+    auto changes = std::vector<adapter::object_change>();
+    for (auto& change : seen.value().changes) {
+        const auto known = this->current.find(change.object.name);
+        const auto is_old = known != this->current.end() &&
+                            known->second.revision > change.object.revision;
+        if (is_old) {
+            continue;
+        }
+        if (change.is_removed) {
+            this->current.erase(change.object.name);
+        } else {
+            this->current[change.object.name] = change.object;
+        }
+        changes.push_back(std::move(change));
+    }
+    this->current_revision =
+        std::max(this->current_revision, seen.value().revision);
+    if (!changes.empty()) {
+        this->called.on_changes(changes);
+    }
+    this->next.start(changes.empty() ? core::milliseconds(0) : this->pause);
+}
+
+auto store_mirror::fail(int status, std::string_view reason) -> void
+{
+    this->limit.stop();
+    this->failed_at = this->owner.now();
+    if (std::exchange(this->connected, false) || this->failures == 0) {
+        this->log.write(severity::notice, "store_lost",
+                        {{"kind", std::to_string(int(this->object_kind))},
+                         {"reason", std::string(reason)},
+                         {"status", std::to_string(status)},
+                         {"revision", std::to_string(this->current_revision)}});
+    }
+    const auto shift = std::min(this->failures, 4);
+    ++this->failures;
+    this->next.start(
+        std::min(shortest_backoff * (1 << shift), longest_backoff));
+}
+
+auto store_mirror::succeed() -> void
+{
+    this->failures = 0;
+    if (!std::exchange(this->connected, true)) {
+        this->log.write(severity::notice, "store_regained",
+                        {{"kind", std::to_string(int(this->object_kind))},
+                         {"revision", std::to_string(this->current_revision)}});
+    }
+}
+
+auto store_mirror::count_unreadable(std::size_t entries) -> void
+{
+    if (entries > 0) {
+        this->log.write(severity::notice, "store_entries_unreadable",
+                        {{"kind", std::to_string(int(this->object_kind))},
+                         {"entries", std::to_string(entries)}});
+    }
+}
+
+auto store_mirror::adopt(std::int64_t newer,
+                         std::vector<adapter::stored_object> objects) -> bool
+{
+    if (newer <= this->current_revision && this->listed) {
+        return false;
+    }
+    this->current.clear();
+    for (auto& object : objects) {
+        auto name = object.name;
+        this->current[std::move(name)] = std::move(object);
+    }
+    this->current_revision = newer;
+    this->listed = true;
+    this->called.on_list();
+    return true;
+}
+
+auto store_mirror::nudge(core::milliseconds patience) -> void
+{
+    const auto is_silent = this->active != nullptr &&
+                           this->owner.now() - this->called_at > patience;
+    if (is_silent) {
+        std::exchange(this->active, nullptr)->cancel();
+        this->limit.stop();
+        this->read();
+    }
+}
+
+auto store_mirror::objects() const
+    -> const std::map<std::string, adapter::stored_object>&
+{
+    return this->current;
+}
+
+auto store_mirror::revision() const -> std::int64_t
+{
+    return this->current_revision;
+}
+
+auto store_mirror::kind() const -> adapter::object_kind
+{
+    return this->object_kind;
+}
+
+auto store_mirror::has_list() const -> bool
+{
+    return this->listed;
+}
+
+auto store_mirror::is_connected() const -> bool
+{
+    return this->connected;
+}
+
+auto store_mirror::last_failure() const -> core::time_point
+{
+    return this->failed_at;
+}
+
+auto store_mirror::calls_made() const -> std::uint64_t
+{
+    return this->made;
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/store_mirror.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "event/timer.h"
+#include "http1/client_pool.h"
+#include "platform/store_calls.h"
+#include "services/gateway/event_log.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace almondtiller::gateway {
+
+/// The objects of one kind, kept up to date by a list and watches. Goes on
+/// with what it has while the store is away, and never back to an older
+/// revision.
+class store_mirror
+{
+public:
+    struct hooks
+    {
+        /// How long a watch may wait.
+        std::function<core::milliseconds()> watch_wait;
+        /// A change of single objects.
+        std::function<void(const std::vector<adapter::object_change>&)>
+            on_changes;
+        /// All objects anew.
+        std::function<void()> on_list;
+    };
+
+    /// \param pause Time between two watches: changes that come together are
+    ///        then fetched by one call.
+    store_mirror(event::loop& owner, http1::client_pool& calls,
+                 core::endpoint store, adapter::object_kind kind,
+                 core::milliseconds pause, event_log& log, hooks called);
+
+    auto start() -> void;
+
+    /// Takes objects that another node has read, if they are newer.
+    /// \return Whether they were.
+    auto adopt(std::int64_t revision,
+               std::vector<adapter::stored_object> objects) -> bool;
+
+    /// Another node knows a newer revision: a watch that waits since longer
+    /// than \a patience has gone silent and is made anew.
+    auto nudge(core::milliseconds patience) -> void;
+
+    [[nodiscard]] auto objects() const
+        -> const std::map<std::string, adapter::stored_object>&;
+    [[nodiscard]] auto revision() const -> std::int64_t;
+    [[nodiscard]] auto kind() const -> adapter::object_kind;
+
+    /// \return Whether a list was read, from the store or another node.
+    [[nodiscard]] auto has_list() const -> bool;
+
+    /// \return Whether the store answers this kind's calls.
+    [[nodiscard]] auto is_connected() const -> bool;
+
+    /// \return When the store last failed to answer, the epoch if never.
+    [[nodiscard]] auto last_failure() const -> core::time_point;
+
+    /// \return Calls made since the start.
+    [[nodiscard]] auto calls_made() const -> std::uint64_t;
+
+private:
+    auto read() -> void;
+    auto call(std::string request, core::milliseconds limit,
+              std::function<void(int, std::string)> done) -> void;
+    auto list(const std::string& after) -> void;
+    auto on_page(int status, const std::string& body) -> void;
+    auto watch() -> void;
+    auto on_watched(int status, const std::string& body) -> void;
+    auto fail(int status, std::string_view reason) -> void;
+    auto succeed() -> void;
+    auto count_unreadable(std::size_t entries) -> void;
+
+    event::loop& owner;
+    http1::client_pool& pool;
+    core::endpoint store;
+    adapter::object_kind object_kind;
+    core::milliseconds pause;
+    event_log& log;
+    hooks called;
+    std::map<std::string, adapter::stored_object> current;
+    std::map<std::string, adapter::stored_object> incoming;
+    std::int64_t current_revision = 0;
+    bool listed = false;
+    bool must_list = true;
+    bool connected = false;
+    core::time_point failed_at;
+    core::time_point called_at;
+    int failures = 0;
+    std::uint64_t made = 0;
+    event::timer next;
+    event::timer limit;
+    std::shared_ptr<http1::pooled_call> active;
+};
+
+} // namespace almondtiller::gateway
--- a/src/services/peers/peer_channel.cpp
+++ b/src/services/peers/peer_channel.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 using fleet::fleet_errc;
+using h2::max_peer_streams;
 
 constexpr auto idle_time = std::chrono::seconds(60);
 
--- a/src/services/peers/peer_connection.h
+++ b/src/services/peers/peer_connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "services/peers/h2_session.h"
+#include "h2/h2_session.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -10,6 +10,11 @@
 
 namespace almondtiller::services {
 
+using h2::h2_hooks;
+using h2::h2_request;
+using h2::h2_role;
+using h2::h2_session;
+
 /// Counts the bytes of every connection.
 struct traffic_counters
 {
--- a/src/services/peers/peer_transport.h
+++ b/src/services/peers/peer_transport.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "services/peers/h2_session.h"
+#include "h2/h2_session.h"
 
 #include <functional>
 #include <memory>
@@ -9,6 +9,8 @@
 
 namespace almondtiller::services {
 
+using h2::h2_request;
+
 /// Bytes that this node exchanged with peers.
 struct transport_traffic
 {
--- a/tests/unit/fleet/peer_transport_test.cpp
+++ b/tests/unit/fleet/peer_transport_test.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 using fleet::fleet_errc;
+using h2::h2_hooks;
+using h2::h2_role;
+using h2::h2_session;
+using h2::max_peer_body_bytes;
 
 constexpr auto timeout = core::milliseconds(5000);
 
