--- a/src/libs/event/tcp_stream.cpp
+++ b/src/libs/event/tcp_stream.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace almondtiller::event {
@@ -56,14 +57,43 @@
     done(std::make_shared<tcp_stream>(pending->target), {});
 }
 
+/// Finds out how a connection really ended. The library reports a clean end
+/// when a hang-up follows a partial read, also if the peer has reset the
+/// connection or more bytes are there.
+auto finish_reading(tcp_stream::state* state) -> void
+{
+    auto descriptor = uv_os_fd_t();
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&state->handle),
+                  &descriptor) != 0) {
+        state->end({});
+        return;
+    }
+    while (!state->is_closing) {
+        const auto size = recv(descriptor, read_buffer.data(),
+                               read_buffer.size(), MSG_DONTWAIT);
+        if (size <= 0) {
+            state->end(size == 0 ? std::error_code()
+                                 : std::error_code(errno,
+                                                   std::generic_category()));
+            return;
+        }
+        const auto hook = state->on_bytes;
+        hook(std::string_view(read_buffer.data(), std::size_t(size)));
+    }
+}
+
 auto on_read(uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) -> void
 {
     auto* state = static_cast<tcp_stream::state*>(stream->data);
     if (size == 0 || state->is_closing) {
         return;
     }
+    if (size == UV_EOF) {
+        finish_reading(state);
+        return;
+    }
     if (size < 0) {
-        state->end(size == UV_EOF ? std::error_code() : uv_error(int(size)));
+        state->end(uv_error(int(size)));
         return;
     }
     // The hook may replace itself.
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -14,11 +14,11 @@
 constexpr auto snapshot_limit = core::milliseconds(1000);
 /// Pause between watches of upstreams and nodes, whose changes come together.
 constexpr auto batch_pause = core::milliseconds(150);
-/// Each node adds that much to how long a watch may wait, so that the fleet
-/// as a whole asks about once in that time; bounds beside it. A watch that
-/// went silent is found when another node's ends.
-constexpr auto wait_per_node = core::milliseconds(1000);
-constexpr auto shortest_wait = core::milliseconds(2000);
+/// The nodes' watches end that far apart, so that one of them asks anew about
+/// once in that time although a change ends all watches at once. What it
+/// finds reaches the others with its heartbeats, whose own watches may have
+/// gone silent.
+constexpr auto watch_step = core::milliseconds(1000);
 constexpr auto longest_wait = core::milliseconds(25000);
 /// A watch that is that old when a peer knows more has missed a change.
 constexpr auto silent_watch = core::milliseconds(300);
@@ -61,31 +61,28 @@
         hooks.watch_wait = [this]() {
             return this->wait_of_watches();
         };
+        hooks.on_failed = [this]() { this->on_store_failed(); };
         this->mirrors[index_of(kind)] = std::make_unique<store_mirror>(
             this->owner, this->pool, this->store, kind, pause, this->log,
             std::move(hooks));
     };
+    const auto each = [](const std::function<void()>& taken) {
+        auto hooks = store_mirror::hooks();
+        hooks.on_changes = [taken](const auto&) { taken(); };
+        hooks.on_list = taken;
+        return hooks;
+    };
     make(object_kind::configurations, core::milliseconds(0),
-         {nullptr, [this](const auto&) { this->on_configuration(); },
-          [this]() {
-              this->on_configuration();
-          }});
-    make(object_kind::upstreams, batch_pause,
-         {nullptr,
-          [this](const auto& changes) { this->on_upstream_changes(changes); },
-          [this]() {
-              this->on_upstream_list();
-          }});
+         each([this]() { this->on_configuration(); }));
+    auto upstream_hooks = each([this]() { this->on_upstream_list(); });
+    upstream_hooks.on_changes = [this](const auto& changes) {
+        this->on_upstream_changes(changes);
+    };
+    make(object_kind::upstreams, batch_pause, std::move(upstream_hooks));
     make(object_kind::evacuations, core::milliseconds(0),
-         {nullptr, [this](const auto&) { this->on_evacuations(); },
-          [this]() {
-              this->on_evacuations();
-          }});
+         each([this]() { this->on_evacuations(); }));
     make(object_kind::nodes, batch_pause,
-         {nullptr, [this](const auto&) { this->on_nodes(); },
-          [this]() {
-              this->on_nodes();
-          }});
+         each([this]() { this->on_nodes(); }));
     this->mesh.handle(snapshot_topic, [this](const core::node_id&,
                                              const std::string& body,
                                              const peer_mesh::reply& answer) {
@@ -113,10 +110,23 @@
     return *this->mirrors[index_of(kind)];
 }
 
-auto store_follower::wait_of_watches() const -> core::milliseconds
+auto store_follower::wait_of_watches() -> core::milliseconds
+{
+    const auto peers = this->mesh.peers();
+    const auto rank =
+        std::count_if(peers.begin(), peers.end(), [this](const auto& peer) {
+            return peer.entry.node < this->own.node;
+        });
+    const auto nodes = std::uint64_t(peers.size() + 1);
+    const auto turn = (std::uint64_t(rank) + ++this->watches) % nodes;
+    return std::min(watch_step * std::int64_t(turn + 1), longest_wait);
+}
+
+auto store_follower::on_store_failed() -> void
 {
-    const auto nodes = std::int64_t(this->mesh.peers().size() + 1);
-    return std::clamp(wait_per_node * nodes, shortest_wait, longest_wait);
+    for (auto& mirror : this->mirrors) {
+        mirror->nudge(silent_watch);
+    }
 }
 
 auto store_follower::is_trusted() const -> bool
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -44,7 +44,8 @@
     static constexpr auto kinds = std::size_t(4);
 
     auto mirror(adapter::object_kind kind) -> store_mirror&;
-    auto wait_of_watches() const -> core::milliseconds;
+    auto wait_of_watches() -> core::milliseconds;
+    auto on_store_failed() -> void;
     [[nodiscard]] auto is_trusted() const -> bool;
     auto on_configuration() -> void;
     auto on_upstream_changes(const std::vector<adapter::object_change>& changes)
@@ -66,6 +67,7 @@
     std::array<std::unique_ptr<store_mirror>, kinds> mirrors;
     std::array<core::time_point, kinds> fetched;
     adapter::node_entry own;
+    std::uint64_t watches = 0;
     bool is_withdrawn = false;
     event::timer announce_timer;
     event::timer expiry;
--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -11,7 +11,7 @@
 
 /// An answer of the store that takes longer is given up. Slow stores still
 /// answer within some hundred milliseconds.
-constexpr auto call_limit = core::milliseconds(1500);
+constexpr auto call_limit = core::milliseconds(1000);
 constexpr auto shortest_backoff = core::milliseconds(100);
 constexpr auto longest_backoff = core::milliseconds(800);
 constexpr auto failure_status = 0;
@@ -118,7 +118,9 @@
 
 auto store_mirror::watch() -> void
 {
-    const auto wait = this->called.watch_wait();
+    const auto wait = std::exchange(this->must_probe, false)
+                          ? core::milliseconds(0)
+                          : this->called.watch_wait();
     this->call(adapter::encode_watch(this->store, this->object_kind,
                                      this->current_revision, wait),
                wait + call_limit, [this](int status, const std::string& body) {
@@ -176,6 +178,7 @@
 {
     this->limit.stop();
     this->failed_at = this->owner.now();
+    this->must_probe = true;
     if (std::exchange(this->connected, false) || this->failures == 0) {
         this->log.write(severity::notice, "store_lost",
                         {{"kind", std::to_string(int(this->object_kind))},
@@ -184,7 +187,11 @@
                          {"revision", std::to_string(this->current_revision)}});
     }
     const auto shift = std::min(this->failures, 4);
+    const auto is_first = this->failures == 0;
     ++this->failures;
+    if (is_first && this->called.on_failed) {
+        this->called.on_failed();
+    }
     this->next.start(
         std::min(shortest_backoff * (1 << shift), longest_backoff));
 }
@@ -232,6 +239,7 @@
     if (is_silent) {
         std::exchange(this->active, nullptr)->cancel();
         this->limit.stop();
+        this->must_probe = true;
         this->read();
     }
 }
--- a/src/services/gateway/store_mirror.h
+++ b/src/services/gateway/store_mirror.h
@@ -27,6 +27,8 @@
             on_changes;
         /// All objects anew.
         std::function<void()> on_list;
+        /// The store has failed to answer.
+        std::function<void()> on_failed;
     };
 
     /// \param pause Time between two watches: changes that come together are
@@ -87,6 +89,8 @@
     std::int64_t current_revision = 0;
     bool listed = false;
     bool must_list = true;
+    /// The next watch returns at once: it shows whether the store answers.
+    bool must_probe = false;
     bool connected = false;
     core::time_point failed_at;
     core::time_point called_at;
--- /dev/null
+++ b/tests/unit/adapter/adapter_test.cpp
@@ -0,0 +1,236 @@
+#include "platform/adapter.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace almondtiller::adapter {
+namespace {
+
+constexpr auto settings_text = R"(
+nodeName = "n1"
+zone = "z1"
+region = "r1"
+ip = "127.0.0.1"
+innerPortRange = [7000,7010]
+surprise = [1,2]
+[listen]
+front = "127.0.0.1:7100"
+readyAddr = "127.0.0.1:7101"
+directory = "127.0.0.1:7102"
+[platform]
+address = "127.0.0.1:7103"
+[bounds]
+graceS = 6
+retryBudgetRatio = 0.3
+)";
+
+auto page_of(const std::string& items) -> object_page
+{
+    return decode_page(R"({"items":[)" + items +
+                       R"(],"morePages":false,"asOf":7})")
+        .value();
+}
+
+auto upstream_text(const std::string& name, const std::string& body)
+    -> std::string
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":3},"spec":)" +
+           body + "}";
+}
+
+const auto good_body = std::string(
+    R"({"service":"s","address":"127.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":4,"state":"ready","coldLeftMs":1500,"seq":9,"born":17})");
+
+auto with(std::string body, const std::string& from, const std::string& to)
+    -> std::string
+{
+    return body.replace(body.find(from), from.size(), to);
+}
+
+auto is_usable_entry(const std::string& body) -> bool
+{
+    const auto page = page_of(upstream_text("i-1", body));
+    return !page.objects.empty() && decode_upstream(page.objects.front());
+}
+
+} // namespace
+
+TEST(settings_file, reads_what_a_node_needs_and_ignores_the_rest)
+{
+    const auto outcome = parse_settings(settings_text);
+    ASSERT_FALSE(outcome.error) << outcome.detail;
+    EXPECT_EQ(outcome.settings.front.port, 7100);
+    EXPECT_EQ(outcome.settings.peers.port, 7000);
+    EXPECT_EQ(outcome.settings.grace, std::chrono::seconds(6));
+    EXPECT_DOUBLE_EQ(outcome.settings.retry_ratio, 0.3);
+}
+
+TEST(settings_file, names_the_key_that_is_wrong)
+{
+    const auto text = with(settings_text, "127.0.0.1:7100", "somewhere");
+    const auto outcome = parse_settings(text);
+    EXPECT_EQ(outcome.error, adapter_errc::setting_invalid);
+    EXPECT_NE(outcome.detail.find("listen.front"), std::string::npos);
+    EXPECT_NE(outcome.detail.find("somewhere"), std::string::npos);
+    EXPECT_EQ(parse_settings("nodeName = ").error,
+              adapter_errc::settings_unreadable);
+    EXPECT_EQ(parse_settings("").error, adapter_errc::setting_missing);
+}
+
+TEST(entries, decode_an_upstream)
+{
+    const auto page = page_of(upstream_text("i-1", good_body));
+    const auto entry = decode_upstream(page.objects.front());
+    ASSERT_TRUE(entry);
+    EXPECT_EQ(entry.value().upstream.id.str(), "i-1");
+    EXPECT_EQ(entry.value().upstream.cold_left, std::chrono::milliseconds(1500));
+    EXPECT_EQ(entry.value().upstream.started_ms, 17);
+    EXPECT_EQ(entry.value().beat, 9);
+}
+
+TEST(entries, reject_what_another_writer_left)
+{
+    ASSERT_TRUE(is_usable_entry(good_body));
+    EXPECT_FALSE(is_usable_entry(with(good_body, "\"ready\"", "\"resting\"")));
+    EXPECT_FALSE(is_usable_entry(with(good_body, "\"slots\":4,", "")));
+    EXPECT_FALSE(
+        is_usable_entry(with(good_body, "\"slots\":4", "\"slots\":\"4\"")));
+    EXPECT_FALSE(is_usable_entry(with(good_body, "127.0.0.1:80", "nowhere")));
+    EXPECT_FALSE(is_usable_entry(with(good_body, "17}", "1.5}")));
+    EXPECT_FALSE(is_usable_entry("\"torn\""));
+}
+
+TEST(entries, keep_the_others_of_a_list_with_a_torn_one)
+{
+    const auto torn = upstream_text("i-2", "\"\xff\xfe\"");
+    const auto page =
+        page_of(upstream_text("i-1", good_body) + "," + torn + ",17");
+    EXPECT_EQ(page.objects.size(), 2U);
+    EXPECT_EQ(page.unreadable, 1U);
+    EXPECT_TRUE(decode_upstream(page.objects.front()));
+}
+
+TEST(entries, decode_a_configuration)
+{
+    const auto page = page_of(upstream_text(
+        "main",
+        R"({"version":7,"routes":[{"name":"r","hostname":"h.example",)"
+        R"("pathPrefix":"/a/","routeType":"streaming","timeoutMs":600,)"
+        R"("targetLatencyMs":130,"priority":1,"maxAttempts":2,)"
+        R"("trafficSplit":[{"service":"m","weight":9}],"resumable":true,)"
+        R"("stages":[{"service":"s","after":[],"bytes":8000}]}],)"
+        R"("services":[{"name":"s","pieces":{"batch":8,"callMs":150.0,)"
+        R"("itemMs":16.0,"headroomMb":43.0,"handleS":4.0}}],)"
+        R"("tenants":[{"name":"w","apiKeys":["k"],"priority":3}]})"));
+    const auto decoded = decode_configuration(page.objects.front());
+    ASSERT_TRUE(decoded);
+    const auto& config = decoded.value();
+    const auto* route = config.find_route("H.example:80", "/a/b?x=/c/");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->timeout, std::chrono::milliseconds(600));
+    EXPECT_TRUE(route->is_resumable);
+    EXPECT_EQ(config.find_route("h.example", "/b/"), nullptr);
+    EXPECT_EQ(config.find_workspace("k")->priority, 3);
+    EXPECT_EQ(config.find_workspace("other"), nullptr);
+    EXPECT_EQ(
+        config.find_service(serving::service_name("s"))->stages->room_bytes,
+        43000000U);
+}
+
+RC_GTEST_PROP(entries, survive_any_bytes, (const std::string& bytes))
+{
+    static_cast<void>(decode_page(bytes));
+    static_cast<void>(decode_changes(bytes));
+    static_cast<void>(decode_stage_results(bytes, 1));
+    static_cast<void>(parse_settings(bytes));
+}
+
+TEST(caller_messages, pass_on_what_is_the_callers_to_say)
+{
+    auto message = http1::request_message();
+    message.method = "POST";
+    message.target = "/a/b";
+    message.headers = {{"Host", "h.example"},
+                       {"X-Almondtiller-Request-Id", "r1"},
+                       {"X-Almondtiller-Token-Counts", "1460,80"},
+                       {"X-Almondtiller-Prompt-Prefix", "5c:800,91: 410"},
+                       {"X-Almondtiller-Pieces", "2,0"},
+                       {"X-Almondtiller-Tenant", "forged"},
+                       {"X-Almondtiller-Hold", "forged"},
+                       {"X-Almondtiller-Expect-Instance", "forged"},
+                       {"Kv-From", "forged"},
+                       {"X-Custom", "kept"},
+                       {"Connection", "X-Private"},
+                       {"X-Private", "dropped"},
+                       {"Authorization", "Bearer secret"}};
+    message.body = "body";
+    const auto request = decode_request(message);
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request.value().api_key, "secret");
+    EXPECT_EQ(request.value().prompt.size(), 2U);
+    EXPECT_EQ(request.value().pieces, (std::vector<std::uint32_t>{2, 0}));
+    auto send = serving::upstream_send();
+    send.expected = core::upstream_id("i-1");
+    send.time_left = std::chrono::milliseconds(900);
+    send.workspace = core::workspace_name("w");
+    send.inputs = {"127.0.0.1:80/1", "127.0.0.1:80/2"};
+    const auto text = encode_request(request.value(), send);
+    EXPECT_EQ(text.find("forged"), std::string::npos);
+    EXPECT_EQ(text.find("secret"), std::string::npos);
+    EXPECT_EQ(text.find("dropped"), std::string::npos);
+    EXPECT_NE(text.find("X-Custom: kept\r\n"), std::string::npos);
+    EXPECT_NE(text.find("X-Almondtiller-Tenant: w\r\n"), std::string::npos);
+    EXPECT_NE(text.find("X-Almondtiller-Deadline-Ms: 900\r\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("Inputs: 127.0.0.1:80/1,127.0.0.1:80/2\r\n"),
+              std::string::npos);
+    EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
+}
+
+TEST(caller_messages, need_an_id)
+{
+    EXPECT_EQ(decode_request({}).error(), adapter_errc::request_without_id);
+}
+
+TEST(caller_messages, read_a_directory_question)
+{
+    auto message = http1::request_message();
+    message.method = "GET";
+    message.target = "/almondtiller/resolve?name=h.example&region=r&zone=z1";
+    const auto question = decode_directory_question(message);
+    ASSERT_TRUE(question);
+    EXPECT_EQ(question->zone.str(), "z1");
+    message.target = "/other";
+    EXPECT_FALSE(decode_directory_question(message));
+}
+
+TEST(upstream_messages, tell_whether_a_request_has_run)
+{
+    auto head = http1::response_head();
+    head.status = 503;
+    EXPECT_FALSE(decode_verdict(head).not_run);
+    head.headers.add("X-Almondtiller-Not-Run", "1");
+    EXPECT_TRUE(decode_verdict(head).not_run);
+    auto misdirected = http1::response_head();
+    misdirected.status = 421;
+    EXPECT_TRUE(decode_verdict(misdirected).not_run);
+}
+
+TEST(stage_calls, read_one_result_an_item)
+{
+    const auto results = decode_stage_results(
+        R"({"items":[{"handle":"127.0.0.1:80/a"},{"reason":"gone"},)"
+        R"({"reason":"room"},{}]})",
+        4);
+    ASSERT_TRUE(results);
+    EXPECT_EQ(results.value()[0].handle, "127.0.0.1:80/a");
+    EXPECT_EQ(results.value()[1].failure, serving::stage_failure::input_gone);
+    EXPECT_EQ(results.value()[2].failure, serving::stage_failure::no_room);
+    EXPECT_EQ(results.value()[3].failure, serving::stage_failure::failed);
+    EXPECT_FALSE(decode_stage_results(R"({"items":[]})", 1));
+    EXPECT_EQ(result_holder("127.0.0.1:80/a")->port, 80);
+}
+
+} // namespace almondtiller::adapter
--- /dev/null
+++ b/tests/unit/dispatch/placement_test.cpp
@@ -0,0 +1,198 @@
+#include "dispatch/placement.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <map>
+
+namespace almondtiller::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+auto model_service() -> serving::service
+{
+    auto service = serving::service();
+    service.name = serving::service_name("m");
+    service.cold_rate = 9.7;
+    service.model = serving::model_pool{128, 270000};
+    return service;
+}
+
+auto known(const std::string& name, const std::string& zone,
+           std::uint32_t slots = 128) -> known_upstream
+{
+    auto entry = known_upstream();
+    entry.upstream.id = core::upstream_id(name);
+    entry.upstream.zone = core::zone_name(zone);
+    entry.upstream.slots = slots;
+    return entry;
+}
+
+class placement_test : public testing::Test
+{
+protected:
+    placement_test()
+    {
+        this->places.set_upstreams(
+            {known("a", "za"), known("b", "zb"), known("c", "zc")});
+    }
+
+    auto request(std::uint64_t ticket, const std::string& session,
+                 std::uint32_t own_tokens = 2000) -> placement_request
+    {
+        auto made = placement_request();
+        made.ticket = ticket;
+        made.request = core::request_id(std::to_string(ticket));
+        made.prompt = {{"shared", 2500},
+                       {session, 3800},
+                       {"own" + std::to_string(ticket), own_tokens}};
+        made.output_tokens = 60;
+        made.due = this->now + milliseconds(1300);
+        made.deadline = this->now + milliseconds(6000);
+        return made;
+    }
+
+    auto place(const placement_request& wanted) -> std::string
+    {
+        this->places.submit(wanted, this->now);
+        for (const auto& outcome : this->places.next(this->now)) {
+            if (outcome.ticket == wanted.ticket &&
+                outcome.status == placement_status::granted) {
+                return outcome.upstream.id.str();
+            }
+        }
+        return {};
+    }
+
+    placement places{model_service(), {}};
+    core::time_point now{std::chrono::hours(1)};
+};
+
+TEST_F(placement_test, a_session_returns_to_the_upstream_that_has_read_it)
+{
+    const auto first = this->place(this->request(1, "s"));
+    this->places.on_ended(1, work_end::completed, this->now);
+    EXPECT_EQ(this->place(this->request(2, "s")), first);
+}
+
+// Load pattern: a burst of long prompts that share one part.
+TEST_F(placement_test, a_burst_of_one_key_spreads_before_it_is_late)
+{
+    auto counts = std::map<std::string, int>();
+    for (auto ticket = 1U; ticket <= 30; ++ticket) {
+        ++counts[this->place(this->request(ticket, "s", 8000))];
+    }
+    EXPECT_EQ(counts.size(), 3U);
+    for (const auto& [id, count] : counts) {
+        EXPECT_LE(count, 15) << id;
+    }
+}
+
+TEST_F(placement_test, large_results_stay_in_their_zone)
+{
+    auto wanted = this->request(1, "s");
+    wanted.inputs = {{core::zone_name("zb"), 9000000}};
+    EXPECT_EQ(this->place(wanted), "b");
+}
+
+TEST_F(placement_test, an_excluded_upstream_is_not_chosen_again)
+{
+    const auto first = this->place(this->request(1, "s"));
+    this->places.on_ended(1, work_end::failed, this->now);
+    auto again = this->request(2, "s");
+    again.excluded = {core::upstream_id(first)};
+    EXPECT_NE(this->place(again), first);
+}
+
+TEST_F(placement_test, memory_is_not_overcommitted)
+{
+    this->places.set_upstreams({known("a", "za")});
+    auto granted = 0;
+    for (auto ticket = 1U; ticket <= 40; ++ticket) {
+        granted +=
+            this->place(this->request(ticket, "s" + std::to_string(ticket)))
+                    .empty()
+                ? 0
+                : 1;
+    }
+    // Each takes 8,360 of 270,000 tokens.
+    EXPECT_LE(granted, 32);
+    EXPECT_GE(granted, 20);
+    EXPECT_EQ(this->places.waiting(), std::size_t(40 - granted));
+}
+
+TEST_F(placement_test, requests_of_a_lost_upstream_list_are_refused)
+{
+    this->places.set_upstreams({});
+    this->places.submit(this->request(1, "s"), this->now);
+    const auto outcomes = this->places.next(this->now);
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].status, placement_status::refused);
+}
+
+TEST_F(placement_test, repeats_are_bounded_by_the_budget)
+{
+    auto granted = 0;
+    for (auto ticket = 1U; ticket <= 100; ++ticket) {
+        this->place(this->request(ticket, "s"));
+        this->places.on_ended(ticket, work_end::completed, this->now);
+    }
+    for (auto ticket = 101U; ticket <= 200; ++ticket) {
+        auto repeat = this->request(ticket, "s");
+        repeat.is_repeat = true;
+        granted += this->place(repeat).empty() ? 0 : 1;
+        this->places.on_ended(ticket, work_end::completed, this->now);
+    }
+    EXPECT_GT(granted, 0);
+    EXPECT_LE(granted, 20);
+}
+
+TEST_F(placement_test, an_adopted_request_counts)
+{
+    this->places.set_upstreams({known("a", "za", 1), known("b", "zb", 1)});
+    this->places.adopt(this->request(1, "s"), core::upstream_id("a"),
+                       this->now);
+    EXPECT_EQ(this->place(this->request(2, "s")), "b");
+    EXPECT_EQ(this->place(this->request(3, "s")), "");
+    this->places.on_ended(1, work_end::completed, this->now);
+    const auto outcomes = this->places.next(this->now);
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].upstream.id.str(), "a");
+}
+
+RC_GTEST_PROP(placement, keeps_a_cold_upstream_below_its_rate,
+              (std::vector<std::uint8_t> pauses))
+{
+    auto places = placement(model_service(), {});
+    auto now = core::time_point(std::chrono::hours(1));
+    auto cold = known("a", "za");
+    cold.changed = now;
+    cold.upstream.cold_left = std::chrono::hours(1);
+    places.set_upstreams({cold});
+    auto sent = std::deque<core::time_point>();
+    auto ticket = std::uint64_t(0);
+    for (const auto pause : pauses) {
+        now += milliseconds(pause % 100);
+        auto request = placement_request();
+        request.ticket = ++ticket;
+        request.due = now + milliseconds(500);
+        request.deadline = now + milliseconds(3000);
+        places.submit(request, now);
+        for (const auto& outcome : places.next(now)) {
+            if (outcome.status == placement_status::granted) {
+                sent.push_back(now);
+                places.on_ended(outcome.ticket, work_end::completed, now);
+            }
+        }
+        while (!sent.empty() && now - sent.front() >= std::chrono::seconds(1)) {
+            sent.pop_front();
+        }
+        RC_ASSERT(sent.size() <= 9U);
+    }
+}
+
+} // namespace
+} // namespace almondtiller::dispatch
--- /dev/null
+++ b/tests/unit/dispatch/serving_state_test.cpp
@@ -0,0 +1,97 @@
+#include "dispatch/serving_state.h"
+
+#include <gtest/gtest.h>
+
+namespace almondtiller::dispatch {
+namespace {
+
+auto make_upstream(const std::string& name) -> serving::upstream
+{
+    auto made = serving::upstream();
+    made.id = core::upstream_id(name);
+    made.service = serving::service_name("s");
+    made.zone = core::zone_name("z");
+    return made;
+}
+
+auto make_config(std::int64_t version)
+    -> std::shared_ptr<const serving::configuration>
+{
+    auto config = std::make_shared<serving::configuration>();
+    config->version = version;
+    return config;
+}
+
+class serving_state_test : public testing::Test
+{
+protected:
+    serving_state state;
+    core::time_point now{std::chrono::hours(1)};
+    serving::service_name service{"s"};
+    core::upstream_id id{"i"};
+};
+
+} // namespace
+
+TEST_F(serving_state_test, never_returns_to_an_older_configuration)
+{
+    EXPECT_TRUE(this->state.apply(make_config(5)));
+    EXPECT_FALSE(this->state.apply(make_config(4)));
+    EXPECT_FALSE(this->state.apply(make_config(5)));
+    EXPECT_EQ(this->state.config()->version, 5);
+}
+
+TEST_F(serving_state_test, draining_upstreams_and_evacuated_zones_get_no_work)
+{
+    auto upstream = make_upstream("i");
+    this->state.update(upstream, 1, this->now);
+    EXPECT_EQ(this->state.usable(this->service).size(), 1U);
+    EXPECT_TRUE(this->state.set_evacuated({core::zone_name("z")}));
+    EXPECT_TRUE(this->state.usable(this->service).empty());
+    EXPECT_TRUE(this->state.set_evacuated({}));
+    upstream.is_draining = true;
+    EXPECT_TRUE(this->state.update(upstream, 2, this->now));
+    EXPECT_FALSE(this->state.is_usable(this->id));
+}
+
+TEST_F(serving_state_test, a_late_write_of_an_older_incarnation_is_ignored)
+{
+    auto upstream = make_upstream("i");
+    upstream.started_ms = 20;
+    this->state.update(upstream, 1, this->now);
+    auto older = upstream;
+    older.started_ms = 10;
+    older.is_draining = true;
+    EXPECT_FALSE(this->state.update(older, 99, this->now));
+    EXPECT_TRUE(this->state.is_usable(this->id));
+}
+
+TEST_F(serving_state_test, entries_that_lapse_in_an_outage_stay_for_two_seconds)
+{
+    this->state.update(make_upstream("i"), 1, this->now);
+    EXPECT_FALSE(this->state.retain({}, false, this->now));
+    EXPECT_TRUE(this->state.is_usable(this->id));
+    this->state.expire(this->now + core::milliseconds(1900));
+    EXPECT_TRUE(this->state.is_usable(this->id));
+    EXPECT_TRUE(this->state.expire(this->now + core::milliseconds(2000)));
+    EXPECT_FALSE(this->state.is_usable(this->id));
+}
+
+TEST_F(serving_state_test, an_entry_that_comes_back_in_time_stays)
+{
+    this->state.update(make_upstream("i"), 1, this->now);
+    this->state.retain({}, false, this->now);
+    EXPECT_TRUE(this->state.update(make_upstream("i"), 1, this->now));
+    EXPECT_FALSE(this->state.expire(this->now + std::chrono::seconds(9)));
+    EXPECT_TRUE(this->state.is_usable(this->id));
+}
+
+TEST_F(serving_state_test,
+       an_entry_removed_while_the_store_is_well_goes_at_once)
+{
+    this->state.update(make_upstream("i"), 1, this->now);
+    EXPECT_TRUE(this->state.remove(this->id, true, this->now));
+    EXPECT_FALSE(this->state.is_usable(this->id));
+}
+
+} // namespace almondtiller::dispatch
--- /dev/null
+++ b/tests/unit/dispatch/stage_queue_test.cpp
@@ -0,0 +1,358 @@
+#include "dispatch/stage_queue.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace almondtiller::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto large = std::uint64_t(3000000);
+constexpr auto small = std::uint64_t(8000);
+
+/// The sheet's stage service with the dearest pieces: 150 ms a call and 16 ms
+/// a piece, eight pieces a call, room for 14 large results.
+auto vessel_pool() -> serving::stage_pool
+{
+    auto pool = serving::stage_pool();
+    pool.batch = 8;
+    pool.call_time = milliseconds(150);
+    pool.item_time = milliseconds(16);
+    pool.room_bytes = 43000000;
+    pool.result_life = std::chrono::seconds(4);
+    return pool;
+}
+
+auto engine(const std::string& name, const std::string& zone) -> stage_engine
+{
+    return {core::upstream_id(name), {"127.0.0.1", 80}, core::zone_name(zone)};
+}
+
+class stage_queue_test : public testing::Test
+{
+protected:
+    stage_queue_test()
+    {
+        this->queue.set_engines(
+            {engine("a", "za"), engine("b", "zb"), engine("c", "zc")});
+    }
+
+    auto work(std::uint64_t ticket, std::size_t pieces,
+              core::duration until_due, const std::string& zone = "za")
+        -> stage_work
+    {
+        auto made = stage_work();
+        made.ticket = ticket;
+        for (auto piece = std::size_t(0); piece < pieces; ++piece) {
+            auto item = serving::stage_item();
+            item.request = core::request_id(std::to_string(ticket));
+            item.piece = std::uint32_t(piece);
+            made.items.push_back(item);
+        }
+        made.due = this->now + until_due;
+        made.deadline = this->now + until_due + std::chrono::seconds(4);
+        made.zone = core::zone_name(zone);
+        made.result_bytes = small;
+        return made;
+    }
+
+    auto results(const stage_call& call) -> std::vector<serving::stage_result>
+    {
+        auto made = std::vector<serving::stage_result>();
+        for (auto index = std::size_t(0); index < call.items.size(); ++index) {
+            made.push_back({"127.0.0.1:80/" + std::to_string(++this->handles),
+                            serving::stage_failure::none});
+        }
+        return made;
+    }
+
+    /// Idle upstreams take calls; returns them.
+    auto take_calls() -> std::vector<stage_call>
+    {
+        auto calls = std::vector<stage_call>();
+        while (auto call = this->queue.next_call(this->now)) {
+            calls.push_back(std::move(*call));
+        }
+        return calls;
+    }
+
+    stage_queue queue{vessel_pool()};
+    core::time_point now{std::chrono::hours(1)};
+    std::uint64_t handles = 0;
+};
+
+TEST_F(stage_queue_test, an_idle_upstream_starts_at_once)
+{
+    ASSERT_FALSE(
+        this->queue.submit(this->work(1, 3, milliseconds(900)), this->now));
+    const auto calls = this->take_calls();
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_EQ(calls[0].items.size(), 3U);
+    const auto effects = this->queue.on_results(
+        calls[0].id, this->results(calls[0]), this->now + milliseconds(200));
+    ASSERT_EQ(effects.outcomes.size(), 1U);
+    EXPECT_EQ(effects.outcomes[0].status, stage_status::done);
+    EXPECT_EQ(effects.outcomes[0].handles.size(), 3U);
+}
+
+TEST_F(stage_queue_test, fills_calls_with_pieces_of_many_requests)
+{
+    for (auto ticket = 1U; ticket <= 3; ++ticket) {
+        this->queue.submit(this->work(ticket, 8, milliseconds(900)), this->now);
+    }
+    const auto busy = this->take_calls();
+    ASSERT_EQ(busy.size(), 3U);
+    for (auto ticket = 4U; ticket <= 7; ++ticket) {
+        this->queue.submit(this->work(ticket, 2, milliseconds(900)), this->now);
+    }
+    this->now += milliseconds(280);
+    this->queue.on_results(busy[0].id, this->results(busy[0]), this->now);
+    const auto next = this->take_calls();
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].items.size(), 8U);
+}
+
+TEST_F(stage_queue_test, large_results_are_made_where_they_are_read)
+{
+    auto first = this->work(1, 2, milliseconds(900), "zb");
+    first.result_bytes = large;
+    auto second = this->work(2, 2, milliseconds(901), "zc");
+    second.result_bytes = large;
+    this->queue.submit(first, this->now);
+    this->queue.submit(second, this->now);
+    const auto calls = this->take_calls();
+    ASSERT_EQ(calls.size(), 2U);
+    EXPECT_EQ(calls[0].engine.zone.str(), "zb");
+    EXPECT_EQ(calls[1].engine.zone.str(), "zc");
+}
+
+TEST_F(stage_queue_test, never_makes_more_results_than_there_is_room_for)
+{
+    this->queue.set_engines({engine("a", "za")});
+    for (auto ticket = 1U; ticket <= 3; ++ticket) {
+        auto made = this->work(ticket, 8, std::chrono::seconds(3));
+        made.result_bytes = large;
+        this->queue.submit(made, this->now);
+    }
+    auto kept = std::vector<std::string>();
+    for (auto expected : {8U, 6U}) {
+        const auto calls = this->take_calls();
+        ASSERT_EQ(calls.size(), 1U);
+        EXPECT_EQ(calls[0].items.size(), expected);
+        const auto made = this->results(calls[0]);
+        for (const auto& result : made) {
+            kept.push_back(result.handle);
+        }
+        this->now += milliseconds(280);
+        this->queue.on_results(calls[0].id, made, this->now);
+    }
+    EXPECT_TRUE(this->take_calls().empty());
+    this->queue.on_freed(kept[0]);
+    const auto calls = this->take_calls();
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_EQ(calls[0].items.size(), 1U);
+}
+
+// Load pattern: a burst of one kind at 2.4 times the usual rate beside a lost
+// upstream; what can't be on time any more must not delay what can.
+TEST_F(stage_queue_test, work_that_is_late_anyway_waits_for_work_on_time)
+{
+    this->queue.set_engines({engine("a", "za")});
+    this->queue.submit(this->work(1, 8, milliseconds(900)), this->now);
+    const auto busy = this->take_calls();
+    this->queue.submit(this->work(2, 8, milliseconds(100)), this->now);
+    this->queue.submit(this->work(3, 8, milliseconds(800)), this->now);
+    this->now += milliseconds(280);
+    this->queue.on_results(busy[0].id, this->results(busy[0]), this->now);
+    const auto next = this->take_calls();
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].items[0].request.str(), "3");
+}
+
+TEST_F(stage_queue_test, refuses_at_once_what_cannot_be_done_in_time)
+{
+    this->queue.set_engines({engine("a", "za")});
+    for (auto ticket = 1U; ticket <= 30; ++ticket) {
+        this->queue.submit(this->work(ticket, 8, milliseconds(400)), this->now);
+    }
+    const auto refusal =
+        this->queue.submit(this->work(99, 8, milliseconds(500)), this->now);
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->status, stage_status::refused);
+    EXPECT_GT(refusal->retry_after, milliseconds(1000));
+}
+
+TEST_F(stage_queue_test, pieces_of_an_overdue_call_go_elsewhere)
+{
+    this->queue.submit(this->work(1, 2, milliseconds(900)), this->now);
+    const auto first = this->take_calls();
+    ASSERT_EQ(first.size(), 1U);
+    this->now += milliseconds(700);
+    this->queue.on_time(this->now);
+    const auto second = this->take_calls();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second[0].engine.id, first[0].engine.id);
+    this->now += milliseconds(180);
+    const auto done = this->queue.on_results(
+        second[0].id, this->results(second[0]), this->now);
+    EXPECT_EQ(done.outcomes.size(), 1U);
+    // The first call's results come too late to be of use.
+    const auto late =
+        this->queue.on_results(first[0].id, this->results(first[0]), this->now);
+    EXPECT_TRUE(late.outcomes.empty());
+    EXPECT_EQ(late.unwanted.size(), 2U);
+}
+
+TEST_F(stage_queue_test, a_failed_call_is_made_again_elsewhere)
+{
+    this->queue.submit(this->work(1, 2, milliseconds(900)), this->now);
+    const auto first = this->take_calls();
+    this->queue.on_call_failed(first[0].id, false, this->now);
+    const auto second = this->take_calls();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second[0].engine.id, first[0].engine.id);
+}
+
+TEST_F(stage_queue_test, results_of_cancelled_work_are_unwanted)
+{
+    this->queue.submit(this->work(1, 2, milliseconds(900)), this->now);
+    const auto calls = this->take_calls();
+    this->queue.cancel(1);
+    const auto effects =
+        this->queue.on_results(calls[0].id, this->results(calls[0]), this->now);
+    EXPECT_TRUE(effects.outcomes.empty());
+    EXPECT_EQ(effects.unwanted.size(), 2U);
+}
+
+TEST_F(stage_queue_test, a_lost_input_ends_the_work)
+{
+    this->queue.submit(this->work(1, 2, milliseconds(900)), this->now);
+    const auto calls = this->take_calls();
+    auto answers = this->results(calls[0]);
+    answers[1] = {"", serving::stage_failure::input_gone};
+    const auto effects =
+        this->queue.on_results(calls[0].id, answers, this->now);
+    ASSERT_EQ(effects.outcomes.size(), 1U);
+    EXPECT_EQ(effects.outcomes[0].status, stage_status::input_gone);
+    EXPECT_EQ(effects.unwanted.size(), 1U);
+}
+
+// Replays a burst: 2.4 times the calm load for five seconds. Calls that carry
+// the pieces of one request only would bear 15 requests a second.
+TEST_F(stage_queue_test, bears_the_burst_that_single_requests_calls_cannot)
+{
+    struct running
+    {
+        stage_call call;
+        core::time_point end;
+    };
+    auto active = std::vector<running>();
+    auto on_time = 0;
+    auto dues = std::map<std::uint64_t, core::time_point>();
+    const auto start = this->now;
+    auto ticket = std::uint64_t(0);
+    auto next_arrival = start;
+    while (this->now < start + std::chrono::seconds(7)) {
+        if (this->now >= next_arrival &&
+            this->now < start + std::chrono::seconds(5)) {
+            auto made = this->work(++ticket, 3, milliseconds(900));
+            dues[ticket] = made.due;
+            this->queue.submit(made, this->now);
+            next_arrival += milliseconds(40);
+        }
+        for (auto index = active.size(); index-- > 0;) {
+            if (active[index].end > this->now) {
+                continue;
+            }
+            const auto done = std::move(active[index]);
+            active.erase(active.begin() + std::ptrdiff_t(index));
+            for (const auto& outcome :
+                 this->queue
+                     .on_results(done.call.id, this->results(done.call),
+                                 this->now)
+                     .outcomes) {
+                on_time += this->now <= dues[outcome.ticket] ? 1 : 0;
+            }
+        }
+        this->queue.on_time(this->now);
+        for (auto& call : this->take_calls()) {
+            const auto time = std::chrono::duration_cast<core::duration>(
+                vessel_pool().call_time +
+                vessel_pool().item_time * double(call.items.size()));
+            active.push_back({std::move(call), this->now + time});
+        }
+        this->now += milliseconds(5);
+    }
+    EXPECT_GE(on_time, 120) << "of 125 requests, 25 a second";
+}
+
+RC_GTEST_PROP(stage_queue, ends_every_work_once,
+              (std::vector<std::pair<std::uint8_t, std::uint8_t>> steps))
+{
+    auto queue = stage_queue(vessel_pool());
+    queue.set_engines({engine("a", "za"), engine("b", "zb")});
+    auto now = core::time_point(std::chrono::hours(1));
+    auto open = std::set<std::uint64_t>();
+    auto calls = std::vector<stage_call>();
+    auto ticket = std::uint64_t(0);
+    auto handle = std::uint64_t(0);
+    const auto end = [&open](const stage_effects& effects) {
+        for (const auto& outcome : effects.outcomes) {
+            RC_ASSERT(open.erase(outcome.ticket) == 1);
+        }
+    };
+    const auto step = [&](std::uint8_t kind, std::uint8_t size) {
+        if (kind % 4 == 0) {
+            auto work = stage_work();
+            work.ticket = ++ticket;
+            work.items.resize(1 + size % 12);
+            work.due = now + milliseconds(size * 5);
+            work.deadline = work.due + milliseconds(1500);
+            work.result_bytes = size % 2 == 0 ? large : small;
+            if (!queue.submit(work, now)) {
+                open.insert(ticket);
+            }
+        } else if (kind % 4 == 1 && !calls.empty()) {
+            const auto call = calls.front();
+            calls.erase(calls.begin());
+            if (size % 5 == 0) {
+                end(queue.on_call_failed(call.id, size % 2 == 0, now));
+                return;
+            }
+            auto results = std::vector<serving::stage_result>();
+            for (auto index = std::size_t(0); index < call.items.size();
+                 ++index) {
+                const auto text = "127.0.0.1:80/" + std::to_string(++handle);
+                results.push_back(
+                    size % 7 == 0
+                        ? serving::stage_result{"",
+                                                serving::stage_failure::no_room}
+                        : serving::stage_result{text,
+                                                serving::stage_failure::none});
+                queue.on_freed(text);
+            }
+            end(queue.on_results(call.id, results, now));
+        }
+        now += milliseconds(size);
+        end(queue.on_time(now));
+        while (auto call = queue.next_call(now)) {
+            RC_ASSERT(call->items.size() <= 8U);
+            calls.push_back(std::move(*call));
+        }
+    };
+    for (const auto& [kind, size] : steps) {
+        step(kind, size);
+    }
+    for (auto turn = 0; turn < 400 && !open.empty(); ++turn) {
+        step(1, 51);
+    }
+    RC_ASSERT(open.empty());
+}
+
+} // namespace
+} // namespace almondtiller::dispatch
--- /dev/null
+++ b/tests/unit/event/tcp_stream_test.cpp
@@ -0,0 +1,172 @@
+#include "event/event.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace almondtiller::event {
+namespace {
+
+/// A blocking listener of the operating system, whose accepted connections
+/// tests end as they like.
+class raw_listener
+{
+public:
+    raw_listener()
+    {
+        this->descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        auto address = sockaddr_in();
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(this->descriptor, reinterpret_cast<sockaddr*>(&address),
+             sizeof(address));
+        ::listen(this->descriptor, 4);
+        auto size = socklen_t(sizeof(address));
+        getsockname(this->descriptor, reinterpret_cast<sockaddr*>(&address),
+                    &size);
+        this->port = ntohs(address.sin_port);
+    }
+    ~raw_listener()
+    {
+        ::close(this->descriptor);
+    }
+    raw_listener(const raw_listener&) = delete;
+    auto operator=(const raw_listener&) -> raw_listener& = delete;
+
+    [[nodiscard]] auto endpoint() const -> core::endpoint
+    {
+        return {"127.0.0.1", this->port};
+    }
+    [[nodiscard]] auto accept() const -> int
+    {
+        return ::accept(this->descriptor, nullptr, nullptr);
+    }
+
+private:
+    int descriptor = -1;
+    std::uint16_t port = 0;
+};
+
+auto reset(int connection) -> void
+{
+    const auto now = linger{1, 0};
+    setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    ::close(connection);
+}
+
+class tcp_stream_test : public testing::Test
+{
+protected:
+    /// Runs the loop until \a ready holds.
+    auto run_until(const std::function<bool()>& ready) -> void
+    {
+        const auto end = this->clock.now() + std::chrono::seconds(5);
+        while (!ready() && this->clock.now() < end) {
+            this->owner.run_once();
+        }
+        ASSERT_TRUE(ready());
+    }
+
+    auto connect() -> void
+    {
+        tcp_stream::connect(this->owner, this->listener.endpoint(),
+                            core::milliseconds(1000),
+                            [this](auto stream, auto error) {
+                                this->stream = std::move(stream);
+                                this->connect_error = error;
+                            });
+        this->run_until([this]() { return this->connect_error.has_value(); });
+    }
+
+    auto start() -> void
+    {
+        this->stream->start(
+            [this](std::string_view bytes) { this->received += bytes; },
+            [this](std::error_code error) { this->end = error; });
+    }
+
+    core::runtime_clock clock;
+    loop owner{clock};
+    raw_listener listener;
+    std::shared_ptr<tcp_stream> stream;
+    std::optional<std::error_code> connect_error;
+    std::string received;
+    std::optional<std::error_code> end;
+};
+
+TEST_F(tcp_stream_test, tells_a_clean_end_after_the_last_bytes)
+{
+    this->connect();
+    const auto peer = this->listener.accept();
+    ASSERT_EQ(send(peer, "whole", 5, 0), 5);
+    ::close(peer);
+    this->start();
+    this->run_until([this]() { return this->end.has_value(); });
+    EXPECT_EQ(this->received, "whole");
+    EXPECT_FALSE(*this->end);
+}
+
+// The library's own report of this is a clean end.
+TEST_F(tcp_stream_test, tells_a_reset_that_follows_bytes_at_once)
+{
+    this->connect();
+    const auto peer = this->listener.accept();
+    ASSERT_EQ(send(peer, "part", 4, 0), 4);
+    reset(peer);
+    this->start();
+    this->run_until([this]() { return this->end.has_value(); });
+    EXPECT_TRUE(*this->end);
+}
+
+TEST_F(tcp_stream_test, delivers_more_bytes_than_one_read_before_the_end)
+{
+    this->connect();
+    const auto peer = this->listener.accept();
+    const auto bytes = std::string(150000, 'x');
+    this->start();
+    auto sent = std::size_t(0);
+    while (sent < bytes.size()) {
+        const auto size =
+            send(peer, bytes.data() + sent, bytes.size() - sent, MSG_DONTWAIT);
+        sent += size > 0 ? std::size_t(size) : 0;
+        this->owner.run_once();
+    }
+    ::close(peer);
+    this->run_until([this]() { return this->end.has_value(); });
+    EXPECT_EQ(this->received.size(), bytes.size());
+}
+
+TEST_F(tcp_stream_test, reports_a_refused_connection)
+{
+    auto address = core::endpoint();
+    {
+        const auto closed = raw_listener();
+        address = closed.endpoint();
+    }
+    auto error = std::optional<std::error_code>();
+    tcp_stream::connect(this->owner, address, core::milliseconds(1000),
+                        [&error](auto, auto failed) { error = failed; });
+    this->run_until([&error]() { return error.has_value(); });
+    EXPECT_TRUE(*error);
+}
+
+TEST_F(tcp_stream_test, calls_no_hook_after_close)
+{
+    this->connect();
+    const auto peer = this->listener.accept();
+    this->start();
+    this->stream->close();
+    ::close(peer);
+    auto ticked = false;
+    auto timer = event::timer(this->owner, [&ticked]() { ticked = true; });
+    timer.start(core::milliseconds(20));
+    this->run_until([&ticked]() { return ticked; });
+    EXPECT_FALSE(this->end);
+}
+
+} // namespace
+} // namespace almondtiller::event
--- /dev/null
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -0,0 +1,79 @@
+#include "services/gateway/peer_messages.h"
+
+#include "services/gateway/directory_choice.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace almondtiller::gateway {
+
+TEST(peer_messages, carry_times_as_what_is_left)
+{
+    const auto sent = core::time_point(std::chrono::hours(1));
+    const auto received = core::time_point(std::chrono::hours(9));
+    auto message = stage_message();
+    message.service = serving::service_name("s");
+    message.work.items.resize(2);
+    message.work.items[1].inputs = {"h"};
+    message.work.due = sent + core::milliseconds(300);
+    message.work.deadline = sent + core::milliseconds(900);
+    message.work.zone = core::zone_name("z");
+    const auto read = decode_stage(encode(message, sent), received);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().work.due, received + core::milliseconds(300));
+    EXPECT_EQ(read.value().work.deadline, received + core::milliseconds(900));
+    EXPECT_EQ(read.value().work.items, message.work.items);
+}
+
+TEST(peer_messages, carry_a_placement_there_and_back)
+{
+    const auto now = core::time_point(std::chrono::hours(1));
+    auto message = place_message();
+    message.service = serving::service_name("s");
+    message.request.request = core::request_id("r");
+    message.request.prompt = {{"p", 9}};
+    message.request.inputs = {{core::zone_name("z"), 5}};
+    message.request.excluded = {core::upstream_id("i")};
+    message.request.due = now;
+    message.request.deadline = now;
+    message.request.is_repeat = true;
+    const auto read = decode_place(encode(message, now), now);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().request.prompt, message.request.prompt);
+    EXPECT_EQ(read.value().request.inputs, message.request.inputs);
+    EXPECT_EQ(read.value().request.excluded, message.request.excluded);
+    EXPECT_TRUE(read.value().request.is_repeat);
+
+    auto outcome = dispatch::placement_outcome();
+    outcome.upstream.id = core::upstream_id("i");
+    outcome.upstream.address = {"127.0.0.1", 80};
+    const auto answered = decode_placement_outcome(encode(outcome));
+    ASSERT_TRUE(answered);
+    EXPECT_EQ(answered.value().upstream.address, outcome.upstream.address);
+}
+
+RC_GTEST_PROP(peer_messages, survive_any_bytes, (const std::string& bytes))
+{
+    const auto now = core::time_point();
+    static_cast<void>(decode_status(bytes));
+    static_cast<void>(decode_stage(bytes, now));
+    static_cast<void>(decode_place(bytes, now));
+    static_cast<void>(decode_stage_outcome(bytes));
+    static_cast<void>(decode_placement_outcome(bytes));
+    static_cast<void>(decode_reports(bytes));
+    static_cast<void>(decode_free(bytes));
+}
+
+TEST(directory_choice, names_the_callers_zone_first)
+{
+    const auto chosen =
+        choose_fronts({{core::zone_name("a"), {"127.0.0.1", 1}},
+                       {core::zone_name("b"), {"127.0.0.1", 2}},
+                       {core::zone_name("a"), {"127.0.0.1", 3}}},
+                      core::zone_name("b"));
+    ASSERT_EQ(chosen.size(), 3U);
+    EXPECT_EQ(chosen[0].port, 2);
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/tests/unit/gateway/stage_plan_test.cpp
@@ -0,0 +1,112 @@
+#include "services/gateway/stage_plan.h"
+
+#include <gtest/gtest.h>
+
+namespace almondtiller::gateway {
+namespace {
+
+/// Two roots; the second leads to a chain of two.
+class stage_plan_test : public testing::Test
+{
+protected:
+    stage_plan_test()
+    {
+        const auto stage = [](const char* service, auto after,
+                              std::uint64_t bytes) {
+            return serving::stage{serving::service_name(service), after, bytes};
+        };
+        using indices = std::vector<std::size_t>;
+        this->route.stages = {
+            stage("feed", indices{}, 3000000), stage("feed", indices{}, 8000),
+            stage("map", indices{1}, 60000), stage("auth", indices{2}, 6000)};
+        this->request.id = core::request_id("r");
+        this->request.piece_key = "key";
+        this->request.pieces = {2, 1, 3, 1};
+        for (const auto* name : {"feed", "map", "auth"}) {
+            auto service = serving::service();
+            service.stages = serving::stage_pool();
+            this->config.services[serving::service_name(name)] = service;
+        }
+    }
+
+    auto plan() -> stage_plan
+    {
+        return {this->route,
+                this->request,
+                this->config,
+                this->due,
+                this->due + std::chrono::seconds(4),
+                1,
+                core::zone_name("z")};
+    }
+
+    serving::route route;
+    serving::caller_request request;
+    serving::configuration config;
+    core::time_point due{std::chrono::hours(1)};
+};
+
+} // namespace
+
+TEST_F(stage_plan_test, runs_stages_after_those_whose_results_they_take)
+{
+    auto plan = this->plan();
+    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{0, 1}));
+    EXPECT_TRUE(plan.start_ready().empty());
+    EXPECT_EQ(plan.work_of(0).items[0].key, "key");
+    EXPECT_TRUE(plan.on_done(1, {"h1"}).empty());
+    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{2}));
+    const auto work = plan.work_of(2);
+    ASSERT_EQ(work.items.size(), 3U);
+    EXPECT_EQ(work.items[0].inputs, (std::vector<std::string>{"h1"}));
+    EXPECT_TRUE(work.items[0].key.empty());
+}
+
+TEST_F(stage_plan_test, earlier_stages_are_due_earlier)
+{
+    const auto plan = this->plan();
+    EXPECT_EQ(plan.work_of(0).due, this->due);
+    EXPECT_LT(plan.work_of(1).due, plan.work_of(2).due);
+    EXPECT_LT(plan.work_of(2).due, plan.work_of(3).due);
+}
+
+TEST_F(stage_plan_test, frees_results_that_were_taken)
+{
+    auto plan = this->plan();
+    plan.start_ready();
+    plan.on_done(1, {"h1"});
+    plan.start_ready();
+    const auto released = plan.on_done(2, {"h2", "h3", "h4"});
+    ASSERT_EQ(released.size(), 1U);
+    EXPECT_EQ(released[0].handles, (std::vector<std::string>{"h1"}));
+}
+
+TEST_F(stage_plan_test, gives_the_request_the_results_that_no_stage_takes)
+{
+    auto plan = this->plan();
+    plan.start_ready();
+    plan.on_done(0, {"a", "b"});
+    plan.on_done(1, {"c"});
+    plan.start_ready();
+    plan.on_done(2, {"d", "e", "f"});
+    plan.start_ready();
+    EXPECT_FALSE(plan.is_complete());
+    plan.on_done(3, {"g"});
+    EXPECT_TRUE(plan.is_complete());
+    EXPECT_EQ(plan.inputs(), (std::vector<std::string>{"a", "b", "g"}));
+    EXPECT_EQ(plan.input_bytes(),
+              (std::vector<std::uint64_t>{3000000, 3000000, 6000}));
+    EXPECT_EQ(plan.reset().size(), 2U);
+    EXPECT_FALSE(plan.is_complete());
+}
+
+TEST_F(stage_plan_test, leaves_out_stages_without_pieces)
+{
+    this->request.pieces = {0, 1, 3, 1};
+    auto plan = this->plan();
+    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{1}));
+    this->request.pieces = {};
+    EXPECT_TRUE(this->plan().is_complete());
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/tests/unit/http1/parser_test.cpp
@@ -0,0 +1,185 @@
+#include "http1/parser.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace almondtiller::http1 {
+namespace {
+
+struct read_answer
+{
+    std::optional<response_head> head;
+    std::string body;
+};
+
+auto make_parser(read_answer& into) -> std::unique_ptr<response_parser>
+{
+    return std::make_unique<response_parser>(
+        response_parser::hooks{
+            [&into](response_head head) { into.head = std::move(head); },
+            [&into](std::string_view bytes) {
+                into.body += bytes;
+            }},
+        false);
+}
+
+auto parse_error(std::string_view text) -> std::error_code
+{
+    auto parser = request_parser();
+    parser.feed(text);
+    auto error = std::error_code();
+    parser.next(error);
+    return error;
+}
+
+constexpr auto post = std::string_view("POST /a/b?c=d HTTP/1.1\r\n"
+                                       "Host: one.example\r\n"
+                                       "Content-Length: 5\r\n\r\nhello");
+constexpr auto chunked =
+    std::string_view("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
+
+} // namespace
+
+TEST(request_parser, reads_requests_one_after_another)
+{
+    auto parser = request_parser();
+    parser.feed(post);
+    parser.feed("GET /next HTTP/1.1\r\nHost: two.example\r\n\r\n");
+    auto error = std::error_code();
+    const auto first = parser.next(error);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->method, "POST");
+    EXPECT_EQ(first->target, "/a/b?c=d");
+    EXPECT_EQ(first->body, "hello");
+    EXPECT_EQ(first->headers.find("HOST"), "one.example");
+    const auto second = parser.next(error);
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->target, "/next");
+    EXPECT_FALSE(parser.is_within_request());
+}
+
+TEST(request_parser, rejects_bodies_of_unclear_length)
+{
+    EXPECT_TRUE(parse_error("POST / HTTP/1.1\r\nHost: a\r\n"
+                            "Content-Length: 4\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"));
+    EXPECT_TRUE(parse_error("POST / HTTP/1.1\r\nHost: a\r\n"
+                            "Transfer-Encoding: gzip, chunked\r\n\r\n"));
+    EXPECT_TRUE(parse_error("POST / HTTP/1.1\r\nHost: a\r\n"
+                            "Content-Length: 4\r\n"
+                            "Content-Length: 5\r\n\r\nabcd"));
+}
+
+TEST(request_parser, bounds_headers_and_bodies)
+{
+    auto parser = request_parser();
+    parser.set_limits({64, 4});
+    parser.feed("GET / HTTP/1.1\r\nHost: " + std::string(100, 'a') +
+                "\r\n\r\n");
+    auto error = std::error_code();
+    EXPECT_FALSE(parser.next(error));
+    EXPECT_EQ(error, http1_errc::header_too_large);
+
+    auto other = request_parser();
+    other.set_limits({1024, 4});
+    other.feed(post);
+    error = {};
+    EXPECT_FALSE(other.next(error));
+    EXPECT_EQ(error, http1_errc::body_too_large);
+}
+
+RC_GTEST_PROP(request_parser, reads_the_same_in_any_pieces,
+              (std::vector<std::uint8_t> sizes))
+{
+    auto parser = request_parser();
+    auto left = post;
+    auto error = std::error_code();
+    auto read = std::optional<request_message>();
+    for (const auto size : sizes) {
+        const auto taken = std::min<std::size_t>(size % 20, left.size());
+        parser.feed(left.substr(0, taken));
+        left.remove_prefix(taken);
+        if (!read) {
+            read = parser.next(error);
+        }
+    }
+    parser.feed(left);
+    if (!read) {
+        read = parser.next(error);
+    }
+    RC_ASSERT(!error);
+    RC_ASSERT(read->body == "hello");
+}
+
+RC_GTEST_PROP(request_parser, survives_any_bytes, (const std::string& bytes))
+{
+    auto parser = request_parser();
+    parser.feed(bytes);
+    auto error = std::error_code();
+    for (auto turn = 0; turn < 4 && !error; ++turn) {
+        parser.next(error);
+    }
+}
+
+TEST(response_parser, reads_chunks_as_they_come)
+{
+    auto answer = read_answer();
+    const auto parser = make_parser(answer);
+    for (const auto byte : chunked) {
+        ASSERT_FALSE(parser->feed(std::string_view(&byte, 1)));
+    }
+    EXPECT_TRUE(parser->is_complete());
+    EXPECT_EQ(answer.body, "hello world");
+}
+
+TEST(response_parser, tells_bytes_beyond_the_answer)
+{
+    auto answer = read_answer();
+    const auto parser = make_parser(answer);
+    EXPECT_EQ(parser->feed(std::string(chunked) + "HTTP/1.1 200 OK\r\n"),
+              http1_errc::unexpected_bytes);
+    EXPECT_TRUE(parser->is_complete());
+}
+
+TEST(response_parser, ends_without_length_with_the_connection)
+{
+    auto answer = read_answer();
+    const auto parser = make_parser(answer);
+    ASSERT_FALSE(parser->feed("HTTP/1.1 200 OK\r\n\r\npart"));
+    EXPECT_TRUE(answer.head->ends_with_connection);
+    EXPECT_FALSE(parser->is_complete());
+    EXPECT_FALSE(parser->feed_end());
+    EXPECT_TRUE(parser->is_complete());
+    EXPECT_EQ(answer.body, "part");
+}
+
+TEST(response_parser, tells_a_truncated_answer)
+{
+    auto answer = read_answer();
+    const auto parser = make_parser(answer);
+    ASSERT_FALSE(
+        parser->feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart"));
+    EXPECT_EQ(parser->feed_end(), http1_errc::truncated_message);
+}
+
+TEST(response_parser, skips_interim_answers)
+{
+    auto answer = read_answer();
+    const auto parser = make_parser(answer);
+    ASSERT_FALSE(parser->feed("HTTP/1.1 100 Continue\r\n\r\n"));
+    EXPECT_FALSE(answer.head);
+    ASSERT_FALSE(parser->feed("HTTP/1.1 204 No Content\r\n\r\n"));
+    EXPECT_EQ(answer.head->status, 204);
+}
+
+TEST(message, knows_fields_of_one_connection)
+{
+    const auto headers = header_list{{"Connection", "close, X-Hop"}};
+    EXPECT_TRUE(is_hop_by_hop("x-hop", headers));
+    EXPECT_TRUE(is_hop_by_hop("Transfer-Encoding", headers));
+    EXPECT_FALSE(is_hop_by_hop("X-Other", headers));
+}
+
+} // namespace almondtiller::http1
