--- a/src/libs/dispatch/stage_queue.cpp
+++ b/src/libs/dispatch/stage_queue.cpp
@@ -1,14 +1,19 @@
 #include "dispatch/stage_queue.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace almondtiller::dispatch {
 
 namespace {
 
-/// Least urgent work yields that much of its due time per priority level.
-constexpr auto priority_step = core::milliseconds(250);
+/// Work that would be late is accepted while it could be done within that
+/// share of its time; what waits longer is mostly given up in the end.
+constexpr auto late_share = 0.5;
+/// Late work waits longer than the queue shows, as urgent work goes first.
+constexpr auto late_wait_factor = 1.5;
+constexpr auto shortest_retry = core::milliseconds(300);
 /// Results above that size should be made where they are read.
 constexpr auto large_result_bytes = std::uint64_t(256) << 10U;
 /// An upstream whose calls take that much longer than nominal is used only
@@ -73,7 +78,8 @@
     struct ranked
     {
         bool late;
-        core::time_point key;
+        int priority;
+        core::time_point due;
         const work_state* work;
     };
     auto ranks = std::vector<ranked>();
@@ -82,15 +88,14 @@
             std::any_of(state.pieces.begin(), state.pieces.end(),
                         [](const auto& piece) { return piece.is_waiting; });
         if (is_waiting) {
-            ranks.push_back(
-                {!this->is_on_time(state.work, now),
-                 state.work.due + priority_step * state.work.priority, &state});
+            ranks.push_back({!this->is_on_time(state.work, now),
+                             state.work.priority, state.work.due, &state});
         }
     }
     std::stable_sort(ranks.begin(), ranks.end(),
                      [](const auto& left, const auto& right) {
-                         return std::tie(left.late, left.key) <
-                                std::tie(right.late, right.key);
+                         return std::tie(left.late, left.priority, left.due) <
+                                std::tie(right.late, right.priority, right.due);
                      });
     auto ordered = std::vector<const work_state*>();
     for (const auto& entry : ranks) {
@@ -103,13 +108,12 @@
                                 core::time_point now) const -> std::size_t
 {
     const auto late = !this->is_on_time(work, now);
-    const auto key = work.due + priority_step * work.priority;
     auto pieces = std::size_t(0);
     for (const auto& [ticket, state] : this->works) {
-        const auto other_late = !this->is_on_time(state.work, now);
-        const auto other_key =
-            state.work.due + priority_step * state.work.priority;
-        if (std::tie(other_late, other_key) < std::tie(late, key)) {
+        const auto& other = state.work;
+        const auto other_late = !this->is_on_time(other, now);
+        if (std::tie(other_late, other.priority, other.due) <
+            std::tie(late, work.priority, work.due)) {
             pieces += std::size_t(std::count_if(
                 state.pieces.begin(), state.pieces.end(),
                 [](const auto& piece) { return piece.is_waiting; }));
@@ -144,17 +148,33 @@
     return pieces;
 }
 
+auto stage_queue::can_accept(const stage_work& work, core::time_point now) const
+    -> bool
+{
+    const auto own = this->call_time(work.items.size());
+    const auto wait = this->wait_for(this->pieces_before(work, now));
+    if (now + wait + own <= work.due) {
+        return true;
+    }
+    const auto has_results = !work.items.front().inputs.empty();
+    if (has_results) {
+        return now + wait + own <= work.deadline;
+    }
+    const auto late_wait = this->estimated_wait(now) * late_wait_factor;
+    return now + wait + this->call_time(1) <= work.deadline;
+}
+
 auto stage_queue::submit(stage_work work, core::time_point now)
     -> std::optional<stage_outcome>
 {
-    const auto before = this->wait_for(this->pieces_before(work, now));
-    const auto earliest = now + before + this->call_time(1);
-    if (earliest > work.deadline) {
+    if (!this->can_accept(work, now)) {
         auto refusal = stage_outcome();
         refusal.ticket = work.ticket;
         refusal.status = stage_status::refused;
-        refusal.retry_after = std::chrono::duration_cast<core::milliseconds>(
-            this->estimated_wait(now));
+        refusal.retry_after =
+            std::max(std::chrono::duration_cast<core::milliseconds>(
+                         this->estimated_wait(now)),
+                     shortest_retry);
         return refusal;
     }
     auto state = work_state();
@@ -397,8 +417,8 @@
             }
             continue;
         }
-        lacks_room = lacks_room ||
-                     result.failure == serving::stage_failure::no_room;
+        lacks_room =
+            lacks_room || result.failure == serving::stage_failure::no_room;
         if (!is_wanted) {
             continue;
         }
--- a/src/libs/dispatch/stage_queue.h
+++ b/src/libs/dispatch/stage_queue.h
@@ -180,6 +180,8 @@
     [[nodiscard]] auto pieces_before(const stage_work& work,
                                      core::time_point now) const -> std::size_t;
     [[nodiscard]] auto wait_for(std::size_t pieces) const -> core::duration;
+    [[nodiscard]] auto can_accept(const stage_work& work,
+                                  core::time_point now) const -> bool;
     auto room_used(engine_state& engine, core::time_point now)
         -> std::uint64_t;
     auto room_left(engine_state& engine, core::time_point now)
