Let large machines own the services

Change: only machines with at least half of the largest one's cores and bandwidth own services. Test: owner_choice.takes_the_large_machines.

--- a/src/libs/serving/node_settings.h
+++ b/src/libs/serving/node_settings.h
@@ -25,6 +25,11 @@
     core::endpoint peers;
     core::endpoint store;
 
+    /// Processor time that the node may use, in cores.
+    double cores = 1;
+    /// Bandwidth of the node's link in megabits a second.
+    double link_mbps = 1000;
+
     /// Time between SIGTERM and SIGKILL.
     std::chrono::milliseconds grace{8000};
     /// The longest that a directory answer may be kept.
--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "event/tcp_listener.h"
 #include "platform/caller_messages.h"
 #include "services/gateway/directory_choice.h"
+#include "services/gateway/owner_choice.h"
 #include "services/gateway/request_flow.h"
 #include "services/gateway/store_follower.h"
 
@@ -92,7 +93,12 @@
     [[nodiscard]] auto own_status() const -> node_status
     {
         return {this->is_ready, this->settings.front, this->settings.zone,
-                this->follower.revisions()};
+                this->own_capacity(), this->follower.revisions()};
+    }
+
+    [[nodiscard]] auto own_capacity() const -> node_capacity
+    {
+        return {this->settings.cores, this->settings.link_mbps};
     }
 
     auto on_known_changed() -> void
@@ -114,18 +120,18 @@
 
     auto update_candidates() -> void
     {
-        auto nodes = std::vector<core::node_id>();
+        auto live = std::vector<owner_candidate>();
         if (this->is_ready) {
-            nodes.push_back(this->settings.node);
+            live.push_back({this->settings.node, this->own_capacity()});
         }
         for (const auto& peer : this->mesh.peers()) {
             const auto status = this->peer_status.find(peer.entry.node);
             if (peer.is_alive && status != this->peer_status.end() &&
                 status->second.is_ready) {
-                nodes.push_back(peer.entry.node);
+                live.push_back({peer.entry.node, status->second.capacity});
             }
         }
-        this->client.set_candidates(std::move(nodes));
+        this->client.set_candidates(choose_owners(live));
     }
 
     auto on_peer_status(const core::node_id& peer, const std::string& text)
--- /dev/null
+++ b/src/services/gateway/owner_choice.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/ids.h"
+#include "services/gateway/peer_messages.h"
+
+#include <vector>
+
+namespace almondtiller::gateway {
+
+/// A live node that may own services.
+struct owner_candidate
+{
+    core::node_id node;
+    node_capacity capacity;
+
+    auto operator==(const owner_candidate&) const -> bool = default;
+};
+
+/// Chooses the nodes that own services: those whose machine has at least half
+/// of what the largest one has. Load pattern: an owner's link carries the
+/// stage calls of all nodes, megabytes a second in a large fleet, and on a
+/// small machine becomes the bottleneck of the whole system.
+[[nodiscard]] auto choose_owners(const std::vector<owner_candidate>& live)
+    -> std::vector<core::node_id>;
+
+} // namespace almondtiller::gateway
--- a/src/services/gateway/peer_messages.cpp
+++ b/src/services/gateway/peer_messages.cpp
@@ -126,7 +126,8 @@
 auto encode(const node_status& status) -> std::string
 {
     return pack(json::array({status.is_ready, core::to_text(status.front),
-                             status.zone.str(), status.revisions}));
+                             status.zone.str(), status.revisions,
+                             status.capacity.cores, status.capacity.link_mbps}));
 }
 
 auto decode_status(std::string_view body) -> core::result<node_status>
@@ -137,6 +138,8 @@
         status.front = address_of(value.at(1));
         status.zone = core::zone_name(value.at(2).get<std::string>());
         status.revisions = value.at(3).get<std::vector<std::int64_t>>();
+        status.capacity.cores = value.at(4).get<double>();
+        status.capacity.link_mbps = value.at(5).get<double>();
         return status;
     });
 }
--- a/src/services/gateway/peer_messages.h
+++ b/src/services/gateway/peer_messages.h
@@ -10,6 +10,15 @@
 
 namespace almondtiller::gateway {
 
+/// What a node's machine can bear.
+struct node_capacity
+{
+    double cores = 1;
+    double link_mbps = 1000;
+
+    auto operator==(const node_capacity&) const -> bool = default;
+};
+
 /// What a node says of itself with each heartbeat.
 struct node_status
 {
@@ -17,6 +26,7 @@
     bool is_ready = false;
     core::endpoint front;
     core::zone_name zone;
+    node_capacity capacity;
     /// The store's revision of each kind that it has, by object_kind.
     std::vector<std::int64_t> revisions;
 
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -1,6 +1,7 @@
 #include "services/gateway/peer_messages.h"
 
 #include "services/gateway/directory_choice.h"
+#include "services/gateway/owner_choice.h"
 
 #include <gtest/gtest.h>
 
@@ -65,6 +66,25 @@
     static_cast<void>(decode_free(bytes));
 }
 
+// Load pattern: a large fleet of small machines beside a few large ones; the
+// owner of a stage service on a small one took the whole day down to half.
+TEST(owner_choice, takes_the_large_machines)
+{
+    const auto candidate = [](const char* name, double cores, double link) {
+        return owner_candidate{core::node_id(name), {cores, link}};
+    };
+    const auto owners =
+        choose_owners({candidate("small", 0.12, 10), candidate("a", 0.5, 200),
+                       candidate("b", 0.5, 150)});
+    EXPECT_EQ(owners, (std::vector<core::node_id>{core::node_id("a"),
+                                                  core::node_id("b")}));
+    EXPECT_EQ(choose_owners({candidate("x", 0.1, 200),
+                             candidate("y", 0.5, 10)})
+                  .size(),
+              2U);
+    EXPECT_TRUE(choose_owners({}).empty());
+}
+
 TEST(directory_choice, names_the_callers_zone_first)
 {
     const auto chosen =
