Keep stage work in its zone by the bytes that it moves

Change: work counts the bytes that it would move; it waits for an upstream of its own zone while it would end there within 0.4 of the time that it has; sessions choose their zone by the zones' shares of the services that the route needs.

Tests: large_results_wait_for_their_zone_while_on_time, counts_the_bytes_that_would_cross_zones.

--- a/src/libs/dispatch/stage_queue.cpp
+++ b/src/libs/dispatch/stage_queue.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/stage_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -14,8 +15,11 @@
 /// Late work waits longer than the queue shows, as urgent work goes first.
 constexpr auto late_wait_factor = 1.5;
 constexpr auto shortest_retry = core::milliseconds(300);
-/// Results above that size should be made where they are read.
-constexpr auto large_result_bytes = std::uint64_t(256) << 10U;
+/// Work that moves more bytes should be done in its own zone.
+constexpr auto large_transfer_bytes = std::uint64_t(256) << 10U;
+/// Work waits for its own zone while it would end there within that share of
+/// the time that it has; a byte saved is worth less than an answer on time.
+constexpr auto home_wait_share = 0.4;
 /// An upstream whose calls take that much longer than nominal is used only
 /// under pressure.
 constexpr auto slow_ratio = 2.0;
@@ -289,25 +293,56 @@
     return std::nullopt;
 }
 
+auto stage_queue::ends_at_home_in_time(const stage_work& work,
+                                       std::size_t ahead,
+                                       core::time_point now) const -> bool
+{
+    auto count = std::size_t(0);
+    auto first_free = core::time_point::max();
+    for (const auto& [id, engine] : this->engines) {
+        if (engine.engine.zone == work.zone && engine.slowness < slow_ratio &&
+            engine.blocked_until <= now && !engine.health.is_ejected()) {
+            ++count;
+            first_free = std::min(first_free, std::max(engine.busy_until, now));
+        }
+    }
+    if (count == 0) {
+        return false;
+    }
+    const auto pieces = ahead + work.items.size();
+    const auto full_calls =
+        std::ceil(double(pieces) / double(this->pool.batch * count));
+    const auto end =
+        first_free +
+        as_duration(this->pool.call_time * full_calls +
+                    this->pool.item_time * double(pieces) / double(count));
+    return end - now <= (work.due - now) * home_wait_share;
+}
+
 auto stage_queue::fill_call(engine_state& engine,
                             const std::vector<const work_state*>& ordered,
                             const std::vector<engine_state*>& idle,
                             core::time_point now) -> std::optional<stage_call>
 {
     const auto has_idle_at_home = [&](const stage_work& work) {
-        return work.result_bytes >= large_result_bytes &&
-               std::any_of(idle.begin(), idle.end(), [&](const auto* other) {
-                   return other != &engine && other->engine.zone == work.zone;
-               });
+        return std::any_of(idle.begin(), idle.end(), [&](const auto* other) {
+            return other != &engine && other->engine.zone == work.zone;
+        });
     };
     auto room = this->room_left(engine, now);
     auto call = stage_call();
     auto carried = call_state();
+    auto ahead = std::map<core::zone_name, std::size_t>();
     for (const auto* waiting : ordered) {
         auto& state = this->works[waiting->work.ticket];
         const auto is_home = state.work.zone == engine.engine.zone;
-        if (!is_home && has_idle_at_home(state.work)) {
-            continue;
+        if (!is_home && state.work.transfer_bytes >= large_transfer_bytes) {
+            auto& at_home = ahead[state.work.zone];
+            if (has_idle_at_home(state.work) ||
+                this->ends_at_home_in_time(state.work, at_home, now)) {
+                at_home += state.work.items.size();
+                continue;
+            }
         }
         for (auto index = std::size_t(0); index < state.pieces.size();
              ++index) {
--- a/src/libs/dispatch/stage_queue.h
+++ b/src/libs/dispatch/stage_queue.h
@@ -29,6 +29,8 @@
     core::zone_name zone;
     /// Size of one result.
     std::uint64_t result_bytes = 0;
+    /// Bytes that cross zones if it is all done outside its zone.
+    std::uint64_t transfer_bytes = 0;
 };
 
 struct stage_engine
@@ -182,12 +184,13 @@
     [[nodiscard]] auto wait_for(std::size_t pieces) const -> core::duration;
     [[nodiscard]] auto can_accept(const stage_work& work,
                                   core::time_point now) const -> bool;
-    auto room_used(engine_state& engine, core::time_point now)
-        -> std::uint64_t;
-    auto room_left(engine_state& engine, core::time_point now)
-        -> std::uint64_t;
+    auto room_used(engine_state& engine, core::time_point now) -> std::uint64_t;
+    auto room_left(engine_state& engine, core::time_point now) -> std::uint64_t;
     auto learn_room(engine_state& engine, std::uint64_t known_before,
                     std::uint64_t made, core::time_point now) -> void;
+    [[nodiscard]] auto ends_at_home_in_time(const stage_work& work,
+                                            std::size_t ahead,
+                                            core::time_point now) const -> bool;
     auto idle_engines(core::time_point now) -> std::vector<engine_state*>;
     auto fill_call(engine_state& engine,
                    const std::vector<const work_state*>& works,
--- a/src/services/gateway/peer_messages.cpp
+++ b/src/services/gateway/peer_messages.cpp
@@ -125,9 +125,9 @@
 
 auto encode(const node_status& status) -> std::string
 {
-    return pack(json::array({status.is_ready, core::to_text(status.front),
-                             status.zone.str(), status.revisions,
-                             status.capacity.cores, status.capacity.link_mbps}));
+    return pack(json::array(
+        {status.is_ready, core::to_text(status.front), status.zone.str(),
+         status.revisions, status.capacity.cores, status.capacity.link_mbps}));
 }
 
 auto decode_status(std::string_view body) -> core::result<node_status>
@@ -156,7 +156,8 @@
                  {"deadline", left_ms(message.work.deadline, now)},
                  {"priority", message.work.priority},
                  {"zone", message.work.zone.str()},
-                 {"bytes", message.work.result_bytes}});
+                 {"bytes", message.work.result_bytes},
+                 {"transfer", message.work.transfer_bytes}});
 }
 
 auto decode_stage(std::string_view body, core::time_point now)
@@ -175,6 +176,7 @@
         message.work.zone =
             core::zone_name(value.at("zone").get<std::string>());
         message.work.result_bytes = value.at("bytes").get<std::uint64_t>();
+        message.work.transfer_bytes = value.at("transfer").get<std::uint64_t>();
         return message;
     });
 }
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -5,6 +5,7 @@
 #include "routing/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -28,6 +29,8 @@
 /// Upstreams that may turn a request away before it is refused.
 constexpr auto most_turned_away = 4;
 constexpr auto most_stage_restarts = 2;
+/// Share of a zone that lacks a service altogether.
+constexpr auto least_zone_share = 0.02;
 /// Bounds of the time after which a refused caller may come back.
 constexpr auto shortest_retry = core::milliseconds(100);
 /// Urgency that stands for the most urgent priority, upstreams take 0 to 9.
@@ -116,24 +119,48 @@
     }
 }
 
-auto request_flow::home_zone() const -> core::zone_name
+auto request_flow::zone_shares() const -> std::map<core::zone_name, double>
 {
-    auto zones = std::set<core::zone_name>();
+    auto services = std::set<serving::service_name>{this->service};
+    for (const auto& stage : this->route.stages) {
+        services.insert(stage.service);
+    }
+    auto shares = std::map<core::zone_name, double>();
     for (const auto& known : this->shared.known.usable(this->service)) {
-        zones.insert(known.upstream.zone);
+        shares[known.upstream.zone] = 1.0;
+    }
+    for (const auto& name : services) {
+        const auto usable = this->shared.known.usable(name);
+        for (auto& [zone, share] : shares) {
+            const auto here = std::count_if(
+                usable.begin(), usable.end(), [&zone](const auto& known) {
+                    return known.upstream.zone == zone;
+                });
+            const auto part =
+                double(here) / double(std::max<std::size_t>(usable.size(), 1));
+            share = std::min(share, std::max(part, least_zone_share));
+        }
     }
+    return shares;
+}
+
+auto request_flow::home_zone() const -> core::zone_name
+{
     const auto& prompt = this->request.prompt;
     const auto key = routing::placement_hash(prompt.size() >= 2
                                                  ? prompt[prompt.size() - 2].id
                                                  : this->request.id.str());
     auto best = core::zone_name();
-    auto best_weight = std::uint64_t(0);
-    for (const auto& zone : zones) {
+    auto best_score = 0.0;
+    for (const auto& [zone, share] : this->zone_shares()) {
+        // Weighted rendezvous hashing: -w / ln(u) for u uniform in (0, 1).
         const auto weight = routing::rendezvous_weight(
             key, routing::placement_hash(zone.str()));
-        if (best.empty() || weight > best_weight) {
+        const auto unit = (double(weight) + 1.0) / 18446744073709551618.0;
+        const auto score = -share / std::log(unit);
+        if (best.empty() || score > best_score) {
             best = zone;
-            best_weight = weight;
+            best_score = score;
         }
     }
     return best;
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -10,6 +10,7 @@
 #include "services/gateway/flow_metrics.h"
 #include "services/gateway/stage_plan.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,6 +51,7 @@
     [[nodiscard]] auto is_repeatable() const -> bool;
     [[nodiscard]] auto may_repeat() const -> bool;
     [[nodiscard]] auto home_zone() const -> core::zone_name;
+    [[nodiscard]] auto zone_shares() const -> std::map<core::zone_name, double>;
     auto choose_service() -> void;
 
     auto run_stages() -> void;
--- a/src/services/gateway/stage_plan.cpp
+++ b/src/services/gateway/stage_plan.cpp
@@ -113,9 +113,32 @@
     work.priority = this->priority;
     work.zone = this->zone;
     work.result_bytes = stage.spec.result_bytes;
+    work.transfer_bytes = this->transfer_bytes(index);
     return work;
 }
 
+auto stage_plan::transfer_bytes(std::size_t index) const -> std::uint64_t
+{
+    const auto& stage = this->stages[index];
+    auto bytes = std::uint64_t(0);
+    for (const auto before : stage.spec.after) {
+        if (before < this->stages.size()) {
+            const auto& input = this->stages[before];
+            bytes += input.spec.result_bytes * input.pieces;
+        }
+    }
+    // Each piece of a later stage takes all results by itself.
+    auto readers = std::uint64_t(0);
+    for (const auto& later : this->stages) {
+        const auto& after = later.spec.after;
+        if (std::find(after.begin(), after.end(), index) != after.end()) {
+            readers += later.pieces;
+        }
+    }
+    bytes += stage.spec.result_bytes * std::max<std::uint64_t>(readers, 1);
+    return bytes * stage.pieces;
+}
+
 auto stage_plan::service_of(std::size_t index) const
     -> const serving::service_name&
 {
--- a/src/services/gateway/stage_plan.h
+++ b/src/services/gateway/stage_plan.h
@@ -72,6 +72,7 @@
     [[nodiscard]] auto has_consumer(std::size_t stage) const -> bool;
     [[nodiscard]] auto inputs_of(const entry& stage) const
         -> std::vector<std::string>;
+    [[nodiscard]] auto transfer_bytes(std::size_t stage) const -> std::uint64_t;
     auto release(std::size_t stage) -> released_results;
 
     std::vector<entry> stages;
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -61,14 +61,18 @@
         hooks.watch_wait = [this]() {
             return this->wait_of_watches();
         };
-        hooks.on_failed = [this]() { this->on_store_failed(); };
+        hooks.on_failed = [this]() {
+            this->on_store_failed();
+        };
         this->mirrors[index_of(kind)] = std::make_unique<store_mirror>(
             this->owner, this->pool, this->store, kind, pause, this->log,
             std::move(hooks));
     };
     const auto each = [](const std::function<void()>& taken) {
         auto hooks = store_mirror::hooks();
-        hooks.on_changes = [taken](const auto&) { taken(); };
+        hooks.on_changes = [taken](const auto&) {
+            taken();
+        };
         hooks.on_list = taken;
         return hooks;
     };
@@ -81,8 +85,7 @@
     make(object_kind::upstreams, batch_pause, std::move(upstream_hooks));
     make(object_kind::evacuations, core::milliseconds(0),
          each([this]() { this->on_evacuations(); }));
-    make(object_kind::nodes, batch_pause,
-         each([this]() { this->on_nodes(); }));
+    make(object_kind::nodes, batch_pause, each([this]() { this->on_nodes(); }));
     this->mesh.handle(snapshot_topic, [this](const core::node_id&,
                                              const std::string& body,
                                              const peer_mesh::reply& answer) {
--- a/tests/unit/dispatch/stage_queue_test.cpp
+++ b/tests/unit/dispatch/stage_queue_test.cpp
@@ -121,8 +121,10 @@
 {
     auto first = this->work(1, 2, milliseconds(900), "zb");
     first.result_bytes = large;
+    first.transfer_bytes = large;
     auto second = this->work(2, 2, milliseconds(901), "zc");
     second.result_bytes = large;
+    second.transfer_bytes = large;
     this->queue.submit(first, this->now);
     this->queue.submit(second, this->now);
     const auto calls = this->take_calls();
@@ -131,12 +133,39 @@
     EXPECT_EQ(calls[1].engine.zone.str(), "zc");
 }
 
+// Load pattern: a calm day, where an idle upstream of another zone would take
+// a large result that its own zone makes in time, and megabytes cross zones.
+TEST_F(stage_queue_test, large_results_wait_for_their_zone_while_on_time)
+{
+    auto made = this->work(1, 2, milliseconds(900), "zb");
+    made.result_bytes = large;
+    made.transfer_bytes = large;
+    this->queue.submit(made, this->now);
+    const auto first = this->take_calls();
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first[0].engine.zone.str(), "zb");
+    auto waiting = this->work(2, 2, milliseconds(900), "zb");
+    waiting.result_bytes = large;
+    waiting.transfer_bytes = large;
+    this->queue.submit(waiting, this->now);
+    EXPECT_TRUE(this->take_calls().empty());
+    auto urgent = this->work(3, 2, milliseconds(250), "zb");
+    urgent.result_bytes = large;
+    urgent.transfer_bytes = large;
+    this->queue.submit(urgent, this->now);
+    const auto elsewhere = this->take_calls();
+    ASSERT_EQ(elsewhere.size(), 1U);
+    EXPECT_NE(elsewhere[0].engine.zone.str(), "zb");
+    EXPECT_EQ(elsewhere[0].items[0].request.str(), "3");
+}
+
 TEST_F(stage_queue_test, never_makes_more_results_than_there_is_room_for)
 {
     this->queue.set_engines({engine("a", "za")});
     for (auto ticket = 1U; ticket <= 3; ++ticket) {
         auto made = this->work(ticket, 8, std::chrono::seconds(3));
         made.result_bytes = large;
+        made.transfer_bytes = large;
         this->queue.submit(made, this->now);
     }
     auto kept = std::vector<std::string>();
@@ -166,6 +195,7 @@
     for (auto ticket = 1U; ticket <= 2; ++ticket) {
         auto made = this->work(ticket, 8, std::chrono::seconds(3));
         made.result_bytes = large;
+        made.transfer_bytes = large;
         this->queue.submit(made, this->now);
     }
     const auto calls = this->take_calls();
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -78,8 +78,7 @@
                        candidate("b", 0.5, 150)});
     EXPECT_EQ(owners, (std::vector<core::node_id>{core::node_id("a"),
                                                   core::node_id("b")}));
-    EXPECT_EQ(choose_owners({candidate("x", 0.1, 200),
-                             candidate("y", 0.5, 10)})
+    EXPECT_EQ(choose_owners({candidate("x", 0.1, 200), candidate("y", 0.5, 10)})
                   .size(),
               2U);
     EXPECT_TRUE(choose_owners({}).empty());
--- a/tests/unit/gateway/stage_plan_test.cpp
+++ b/tests/unit/gateway/stage_plan_test.cpp
@@ -100,6 +100,17 @@
     EXPECT_FALSE(plan.is_complete());
 }
 
+// Load pattern: pieces of a later stage each take all results of the one
+// before, which made most of the bytes that crossed zones.
+TEST_F(stage_plan_test, counts_the_bytes_that_would_cross_zones)
+{
+    const auto plan = this->plan();
+    EXPECT_EQ(plan.work_of(0).transfer_bytes, 2U * 3000000U);
+    EXPECT_EQ(plan.work_of(1).transfer_bytes, 3U * 8000U);
+    EXPECT_EQ(plan.work_of(2).transfer_bytes, 3U * (8000U + 60000U));
+    EXPECT_EQ(plan.work_of(3).transfer_bytes, 3U * 60000U + 6000U);
+}
+
 TEST_F(stage_plan_test, leaves_out_stages_without_pieces)
 {
     this->request.pieces = {0, 1, 3, 1};
