Give the waiting work of a test the time that the share needs

The test's work had 900 ms, of which 0.4 are 360 ms; it ends at home after 364 ms and rightly went elsewhere. With 1,200 ms it must wait; the urgent work beside it must still go elsewhere, so the check is as strict.

--- a/tests/unit/dispatch/stage_queue_test.cpp
+++ b/tests/unit/dispatch/stage_queue_test.cpp
@@ -144,7 +144,7 @@
     const auto first = this->take_calls();
     ASSERT_EQ(first.size(), 1U);
     EXPECT_EQ(first[0].engine.zone.str(), "zb");
-    auto waiting = this->work(2, 2, milliseconds(900), "zb");
+    auto waiting = this->work(2, 2, milliseconds(1200), "zb");
     waiting.result_bytes = large;
     waiting.transfer_bytes = large;
     this->queue.submit(waiting, this->now);
