--- a/src/libs/dispatch/placement.cpp
+++ b/src/libs/dispatch/placement.cpp
@@ -42,7 +42,9 @@
 } // namespace
 
 placement::placement(serving::service spec, placement_limits bounds)
-    : service(std::move(spec)), limits(bounds), repeats(bounds.retry_ratio)
+    : service(std::move(spec)),
+      limits(bounds),
+      repeats(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window)
 {}
 
 auto placement::set_service(const serving::service& spec) -> void
@@ -73,9 +75,8 @@
 
 auto placement::submit(placement_request request, core::time_point now) -> void
 {
-    static_cast<void>(now);
     if (!request.is_repeat) {
-        this->repeats.deposit();
+        this->repeats.deposit(now);
     }
     this->queue.push_back(std::move(request));
 }
@@ -210,7 +211,7 @@
         if (chosen == nullptr) {
             outcome.status = placement_status::refused;
             outcome.retry_after = core::milliseconds(300);
-        } else if (request.is_repeat && !this->repeats.try_withdraw()) {
+        } else if (request.is_repeat && !this->repeats.try_withdraw(now)) {
             outcome.status = placement_status::out_of_budget;
         } else {
             outcome.upstream = chosen->known.upstream;
--- a/src/libs/dispatch/placement.h
+++ b/src/libs/dispatch/placement.h
@@ -3,8 +3,8 @@
 #include "core/clock.h"
 #include "dispatch/prefix_cache.h"
 #include "dispatch/rate_limit.h"
+#include "dispatch/repeat_budget.h"
 #include "dispatch/serving_state.h"
-#include "routing/attempt_budget.h"
 #include "routing/outlier_detector.h"
 #include "serving/request.h"
 
@@ -72,6 +72,9 @@
 struct placement_limits
 {
     double retry_ratio = 0.2;
+    /// Repeats in a window beside the ratio.
+    double retry_extra = 0;
+    core::duration retry_window = std::chrono::seconds(10);
     double cold_factor = 1.0;
     double cold_extra = 0;
 
@@ -145,7 +148,7 @@
 
     serving::service service;
     placement_limits limits;
-    routing::attempt_budget repeats;
+    repeat_budget repeats;
     std::map<core::upstream_id, upstream_state> upstreams;
     std::map<std::uint64_t, running> placed;
     std::vector<placement_request> queue;
--- /dev/null
+++ b/src/libs/dispatch/repeat_budget.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstddef>
+#include <deque>
+
+namespace almondtiller::dispatch {
+
+/// Bounds the repeats of a service in any sliding window to a share of its
+/// first sends plus a constant, summed over all nodes as one node decides for
+/// all. Load pattern: upstreams that fail under a burst, where unbounded
+/// repeats add to the load that made them fail.
+class repeat_budget
+{
+public:
+    /// \param ratio Repeats for each first send.
+    /// \param extra Repeats beside the ratio in a window.
+    repeat_budget(double ratio, double extra, core::duration window);
+
+    /// Counts a first send.
+    auto deposit(core::time_point now) -> void;
+
+    /// Counts a repeat if the budget allows it.
+    auto try_withdraw(core::time_point now) -> bool;
+
+private:
+    struct slice
+    {
+        core::time_point start;
+        std::size_t firsts = 0;
+        std::size_t repeats = 0;
+    };
+    auto current(core::time_point now) -> slice&;
+
+    double ratio;
+    double extra;
+    core::duration window;
+    std::deque<slice> slices;
+};
+
+} // namespace almondtiller::dispatch
--- a/src/libs/event/loop.cpp
+++ b/src/libs/event/loop.cpp
@@ -51,6 +51,10 @@
 
 loop::~loop()
 {
+    // What was posted may own handles, which must close before the loop does.
+    while (!this->data->posted.empty()) {
+        const auto dropped = std::exchange(this->data->posted, {});
+    }
     uv_walk(
         &this->data->native,
         [](uv_handle_t* handle, void*) {
--- a/src/libs/serving/node_settings.h
+++ b/src/libs/serving/node_settings.h
@@ -21,8 +21,10 @@
     core::endpoint readiness;
     /// Callers' questions for addresses.
     core::endpoint directory;
-    /// Free for traffic between nodes; the first port is used.
+    /// Traffic between nodes: the first port that is free for it.
     core::endpoint peers;
+    /// Counters and histograms.
+    core::endpoint metrics;
     core::endpoint store;
 
     /// Processor time that the node may use, in cores.
--- a/src/services/gateway/dispatch_client.cpp
+++ b/src/services/gateway/dispatch_client.cpp
@@ -204,6 +204,9 @@
         this->local.submit_placement(message, this->self, finish);
         return;
     }
+    // The owner must hear how an earlier attempt has ended before it gets the
+    // next one, or it would take the report for the new attempt's.
+    this->send_reports();
     const auto now = this->owner.now();
     const auto call = this->mesh.call(
         node, place_topic, encode(message, now),
--- a/src/services/gateway/dispatcher.cpp
+++ b/src/services/gateway/dispatcher.cpp
@@ -146,7 +146,7 @@
 {
     this->apply(name, service, service.queue.on_time(this->owner.now()));
     while (auto call = service.queue.next_call(this->owner.now())) {
-        this->send_call(name, std::move(*call));
+        this->send_call(name, *call);
     }
 }
 
@@ -184,7 +184,7 @@
 }
 
 auto dispatcher::send_call(const serving::service_name& name,
-                           dispatch::stage_call call) -> void
+                           const dispatch::stage_call& call) -> void
 {
     auto body = std::make_shared<std::string>();
     auto status = std::make_shared<int>(failure_status);
--- a/src/services/gateway/dispatcher.h
+++ b/src/services/gateway/dispatcher.h
@@ -61,8 +61,8 @@
     auto pump_stages(const serving::service_name& name, stage_service& service)
         -> void;
     auto pump_placements(placed_service& service) -> void;
-    auto send_call(const serving::service_name& name, dispatch::stage_call call)
-        -> void;
+    auto send_call(const serving::service_name& name,
+                   const dispatch::stage_call& call) -> void;
     auto on_call_done(const serving::service_name& name,
                       const dispatch::stage_call& call, int status,
                       const std::string& body, std::error_code error) -> void;
--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -24,11 +24,12 @@
 constexpr auto stop_margin = core::milliseconds(700);
 /// Idle connections of callers close that long after leaving began.
 constexpr auto idle_while_leaving = core::milliseconds(2500);
+/// Two nodes may own a service for a while, each with its own budget; and a
+/// window may hold half of the first sends that a repeat was allowed for.
+constexpr auto own_share_of_budget = 0.5;
 constexpr auto sweep_interval = core::milliseconds(2000);
 constexpr auto not_ready_retry = core::milliseconds(300);
 constexpr auto leave_check = core::milliseconds(50);
-/// The metrics listener's port, beside the platform's own.
-constexpr auto metrics_port = std::uint16_t(9464);
 
 constexpr auto ok = 200;
 constexpr auto bad_request = 400;
@@ -73,7 +74,9 @@
           pool(loop),
           mesh(loop, this->own_entry(), lines),
           local(loop, this->known, this->pool, lines,
-                {this->settings.retry_ratio, this->settings.cold_factor,
+                {this->settings.retry_ratio * own_share_of_budget,
+                 this->settings.retry_extra * own_share_of_budget,
+                 this->settings.retry_window, this->settings.cold_factor,
                  this->settings.cold_extra}),
           client(loop, this->settings.node, this->mesh, this->local, lines),
           follower(loop, this->pool, this->settings.store, this->known,
@@ -174,14 +177,15 @@
 
     auto listen_all() -> std::error_code
     {
-        using handler = void (state::*)(http1::request_message,
-                                        std::shared_ptr<http1::exchange>);
+        using handler =
+            void (state::*)(const http1::request_message&,
+                            const std::shared_ptr<http1::exchange>&);
         const auto open = [this](const core::endpoint& address,
                                  handler handles) {
-            return this->listen(
-                address, [this, handles](auto message, auto exchange) {
-                    (this->*handles)(std::move(message), std::move(exchange));
-                });
+            return this->listen(address,
+                                [this, handles](auto message, auto exchange) {
+                                    (this->*handles)(message, exchange);
+                                });
         };
         if (const auto error =
                 open(this->settings.front, &state::on_front_request)) {
@@ -198,10 +202,8 @@
                 return error;
             }
         }
-        const auto metrics_address =
-            core::endpoint{this->settings.front.ip, metrics_port};
         if (const auto error =
-                open(metrics_address, &state::on_metrics_request)) {
+                open(this->settings.metrics, &state::on_metrics_request)) {
             this->log.write(severity::notice, "metrics_not_served",
                             {{"error", error.message()}});
         }
@@ -253,26 +255,29 @@
         return error;
     }
 
-    auto on_readiness_check(http1::request_message message,
-                            std::shared_ptr<http1::exchange> exchange) -> void
+    auto on_readiness_check(const http1::request_message& message,
+                            const std::shared_ptr<http1::exchange>& exchange)
+        -> void
     {
         if (adapter::decode_directory_question(message)) {
-            this->on_directory_request(std::move(message), std::move(exchange));
+            this->on_directory_request(message, exchange);
             return;
         }
         exchange->respond(this->is_ready ? ok : unavailable, {}, "");
     }
 
-    auto on_metrics_request(http1::request_message message,
-                            std::shared_ptr<http1::exchange> exchange) -> void
+    auto on_metrics_request(const http1::request_message& message,
+                            const std::shared_ptr<http1::exchange>& exchange)
+        -> void
     {
         static_cast<void>(message);
         exchange->respond(ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                           this->metrics.expose());
     }
 
-    auto on_directory_request(http1::request_message message,
-                              std::shared_ptr<http1::exchange> exchange) -> void
+    auto on_directory_request(const http1::request_message& message,
+                              const std::shared_ptr<http1::exchange>& exchange)
+        -> void
     {
         const auto question = adapter::decode_directory_question(message);
         if (!question) {
@@ -317,10 +322,11 @@
                                            : std::string("none")}});
     }
 
-    auto on_front_request(http1::request_message message,
-                          std::shared_ptr<http1::exchange> exchange) -> void
+    auto on_front_request(const http1::request_message& message,
+                          const std::shared_ptr<http1::exchange>& exchange)
+        -> void
     {
-        auto decoded = adapter::decode_request(std::move(message));
+        auto decoded = adapter::decode_request(message);
         if (!decoded) {
             this->reject(exchange, {}, bad_request, "no_request_id",
                          std::nullopt);
@@ -352,9 +358,9 @@
                 return;
             }
         }
-        auto flow = std::make_shared<request_flow>(
-            this->shared, std::move(request), std::move(exchange), config,
-            *route, workspace);
+        auto flow =
+            std::make_shared<request_flow>(this->shared, std::move(request),
+                                           exchange, config, *route, workspace);
         this->flows.insert(flow);
         flow->start();
     }
@@ -440,7 +446,7 @@
     this->data->leave();
 }
 
-auto node::reload(serving::node_settings settings) -> void
+auto node::reload(const serving::node_settings& settings) -> void
 {
     // Addresses and names are fixed for a process.
     this->data->settings.grace = settings.grace;
--- a/src/services/gateway/gateway.h
+++ b/src/services/gateway/gateway.h
@@ -34,7 +34,7 @@
     auto leave() -> void;
 
     /// The settings file may have changed.
-    auto reload(serving::node_settings settings) -> void;
+    auto reload(const serving::node_settings& settings) -> void;
 
 private:
     struct state;
--- a/src/services/gateway/peer_mesh.cpp
+++ b/src/services/gateway/peer_mesh.cpp
@@ -409,7 +409,8 @@
     {
         connection->sender = core::node_id(request.sender);
         const auto weak = std::weak_ptr<peer_inbound>(connection);
-        const auto answer = [this, weak, id](core::result<std::string> value) {
+        const auto answer = [this, weak,
+                             id](const core::result<std::string>& value) {
             const auto open = weak.lock();
             if (!open || !open->is_open) {
                 return;
@@ -433,9 +434,9 @@
         auto is_answered = std::make_shared<bool>(false);
         auto cancel = found->second(
             connection->sender, std::move(request.body),
-            [answer, is_answered](core::result<std::string> value) {
+            [answer, is_answered](const core::result<std::string>& value) {
                 *is_answered = true;
-                answer(std::move(value));
+                answer(value);
             });
         if (cancel && !*is_answered) {
             connection->cancels[id] = std::move(cancel);
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -131,14 +131,15 @@
     }
     for (const auto& name : services) {
         const auto usable = this->shared.known.usable(name);
-        for (auto& [zone, share] : shares) {
+        for (auto& entry : shares) {
             const auto here = std::count_if(
-                usable.begin(), usable.end(), [&zone](const auto& known) {
-                    return known.upstream.zone == zone;
+                usable.begin(), usable.end(), [&entry](const auto& known) {
+                    return known.upstream.zone == entry.first;
                 });
             const auto part =
                 double(here) / double(std::max<std::size_t>(usable.size(), 1));
-            share = std::min(share, std::max(part, least_zone_share));
+            entry.second =
+                std::min(entry.second, std::max(part, least_zone_share));
         }
     }
     return shares;
--- /dev/null
+++ b/tests/fakes/gateway_world/fake_store.cpp
@@ -0,0 +1,259 @@
+#include "gateway_world/fake_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway_world {
+
+namespace {
+
+constexpr auto prefix = std::string_view("/almondtiller/objects/");
+constexpr auto page_size = std::size_t(3);
+
+auto query_value(const std::string& query, const std::string& key)
+    -> std::string
+{
+    const auto at = query.find(key + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + key.size() + 1;
+    return query.substr(begin, query.find('&', begin) - begin);
+}
+
+} // namespace
+
+fake_store::fake_store(event::loop& loop)
+    : owner(loop),
+      listener(loop,
+               [this](auto stream) {
+                   auto connection = std::make_shared<http1::server_connection>(
+                       this->owner, std::move(stream), this->options);
+                   this->connections.insert(connection);
+                   connection->start();
+               }),
+      options(std::make_shared<http1::server_options>())
+{
+    this->options->on_request = [this](auto request, auto exchange) {
+        this->on_request(request, std::move(exchange));
+    };
+    this->options->limits = []() {
+        return http1::parser_limits();
+    };
+    this->options->header_timeout = []() {
+        return core::milliseconds(60000);
+    };
+    this->options->idle_timeout = []() {
+        return core::milliseconds(60000);
+    };
+    this->options->on_closed = [this](const auto& connection) {
+        this->connections.erase(connection);
+    };
+}
+
+auto fake_store::listen() -> std::error_code
+{
+    return this->listener.listen({"127.0.0.1", 0});
+}
+
+auto fake_store::address() const -> core::endpoint
+{
+    return {"127.0.0.1", std::uint16_t(this->listener.port())};
+}
+
+auto fake_store::put(const std::string& kind, const std::string& name,
+                     json body) -> void
+{
+    ++this->revision;
+    auto& object = this->objects[kind][name];
+    object = {{"metadata", {{"name", name}, {"revision", this->revision}}},
+              {"spec", std::move(body)}};
+    this->history.push_back(
+        {this->revision, kind, {{"removed", false}, {"object", object}}});
+    this->wake();
+}
+
+auto fake_store::remove(const std::string& kind, const std::string& name)
+    -> void
+{
+    const auto found = this->objects[kind].find(name);
+    if (found == this->objects[kind].end()) {
+        return;
+    }
+    ++this->revision;
+    auto object = found->second;
+    object["metadata"]["revision"] = this->revision;
+    this->objects[kind].erase(found);
+    this->history.push_back(
+        {this->revision, kind, {{"removed", true}, {"object", object}}});
+    this->wake();
+}
+
+auto fake_store::has(const std::string& kind, const std::string& name) const
+    -> bool
+{
+    const auto found = this->objects.find(kind);
+    return found != this->objects.end() && found->second.contains(name);
+}
+
+auto fake_store::set_mode(store_mode wanted) -> void
+{
+    this->mode = wanted;
+}
+
+auto fake_store::compact() -> void
+{
+    this->history.clear();
+    this->oldest = this->revision;
+    for (const auto& waiting : std::exchange(this->watches, {})) {
+        this->answer(waiting->exchange, 410, json::object());
+    }
+}
+
+auto fake_store::calls() const -> std::uint64_t
+{
+    return this->call_count;
+}
+
+auto fake_store::answer(const std::shared_ptr<http1::exchange>& exchange,
+                        int status, const json& body) -> void
+{
+    exchange->respond(status, {{"Content-Type", "application/json"}},
+                      body.dump());
+}
+
+auto fake_store::on_request(const http1::request_message& request,
+                            std::shared_ptr<http1::exchange> exchange) -> void
+{
+    ++this->call_count;
+    if (this->mode == store_mode::busy) {
+        exchange->respond(503, {}, "");
+        return;
+    }
+    if (this->mode == store_mode::silent) {
+        this->ignored.push_back(std::move(exchange));
+        return;
+    }
+    const auto mark = request.target.find('?');
+    auto path = request.target.substr(0, mark);
+    const auto query = mark == std::string::npos
+                           ? std::string()
+                           : request.target.substr(mark + 1);
+    path.erase(0, prefix.size());
+    const auto slash = path.find('/');
+    const auto kind = path.substr(0, slash);
+    const auto name =
+        slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    if (request.method == "GET") {
+        this->on_read(kind, query, std::move(exchange));
+    } else {
+        this->on_write(request, kind, name, exchange);
+    }
+}
+
+auto fake_store::changes_since(const std::string& kind,
+                               std::int64_t since) const -> json
+{
+    auto events = json::array();
+    for (const auto& entry : this->history) {
+        if (entry.kind == kind && entry.revision > since) {
+            events.push_back(entry.event);
+        }
+    }
+    return events;
+}
+
+auto fake_store::on_read(const std::string& kind, const std::string& query,
+                         std::shared_ptr<http1::exchange> exchange) -> void
+{
+    const auto since = query_value(query, "watch");
+    if (since.empty()) {
+        const auto after = query_value(query, "after");
+        auto items = json::array();
+        auto more = false;
+        for (const auto& [name, object] : this->objects[kind]) {
+            more = name > after && items.size() == page_size;
+            if (more) {
+                break;
+            }
+            if (name > after) {
+                items.push_back(object);
+            }
+        }
+        this->answer(
+            exchange, 200,
+            {{"items", items}, {"morePages", more}, {"asOf", this->revision}});
+        return;
+    }
+    const auto from = std::int64_t(std::stoll(since));
+    if (from < this->oldest) {
+        this->answer(exchange, 410, json::object());
+        return;
+    }
+    auto waiting = std::make_shared<watch>();
+    waiting->kind = kind;
+    waiting->since = from;
+    waiting->exchange = std::move(exchange);
+    const auto weak = std::weak_ptr<watch>(waiting);
+    waiting->limit = std::make_unique<event::timer>(this->owner, [this,
+                                                                  weak]() {
+        if (const auto over = weak.lock()) {
+            std::erase(this->watches, over);
+            this->answer(over->exchange, 200,
+                         {{"events", json::array()}, {"asOf", over->since}});
+        }
+    });
+    waiting->limit->start(
+        core::milliseconds(std::stoll("0" + query_value(query, "waitMs"))));
+    waiting->exchange->on_gone([this, weak]() {
+        std::erase_if(this->watches, [&weak](const auto& open) {
+            return open == weak.lock();
+        });
+    });
+    this->watches.push_back(std::move(waiting));
+    this->wake();
+}
+
+auto fake_store::wake() -> void
+{
+    if (this->mode == store_mode::silent) {
+        return;
+    }
+    const auto waiting = this->watches;
+    for (const auto& open : waiting) {
+        const auto events = this->changes_since(open->kind, open->since);
+        if (!events.empty()) {
+            std::erase(this->watches, open);
+            this->answer(open->exchange, 200,
+                         {{"events", events}, {"asOf", this->revision}});
+        }
+    }
+}
+
+auto fake_store::on_write(const http1::request_message& request,
+                          const std::string& kind, std::string name,
+                          const std::shared_ptr<http1::exchange>& exchange)
+    -> void
+{
+    auto status = 200;
+    if (request.method == "DELETE") {
+        status = this->has(kind, name) ? 200 : 404;
+        this->remove(kind, name);
+    } else {
+        const auto body = json::parse(request.body);
+        if (request.method == "POST") {
+            name = body["metadata"]["name"].get<std::string>();
+            status = this->has(kind, name) ? 409 : 201;
+        }
+        if (status != 409) {
+            this->put(kind, name, body["spec"]);
+        }
+    }
+    if (this->mode == store_mode::loses) {
+        this->ignored.push_back(exchange);
+        return;
+    }
+    this->answer(exchange, status, json::object());
+}
+
+} // namespace almondtiller::gateway_world
--- /dev/null
+++ b/tests/fakes/gateway_world/fake_store.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "event/event.h"
+#include "http1/server_connection.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace almondtiller::gateway_world {
+
+using json = nlohmann::json;
+
+/// How the store treats calls.
+enum class store_mode
+{
+    serves,
+    busy,   ///< 503 to everything.
+    silent, ///< Never answers; nothing is done.
+    loses,  ///< Does what is asked and never answers writes.
+};
+
+/// A stand-in of the platform's object store: lists in pages, watches,
+/// conditional writes. On the test's loop.
+class fake_store
+{
+public:
+    explicit fake_store(event::loop& owner);
+
+    auto listen() -> std::error_code;
+    [[nodiscard]] auto address() const -> core::endpoint;
+
+    /// Writes an object as the operator or an upstream does.
+    auto put(const std::string& kind, const std::string& name, json body)
+        -> void;
+    auto remove(const std::string& kind, const std::string& name) -> void;
+    [[nodiscard]] auto has(const std::string& kind,
+                           const std::string& name) const -> bool;
+
+    auto set_mode(store_mode mode) -> void;
+
+    /// Forgets the history: watches from before get 410.
+    auto compact() -> void;
+
+    [[nodiscard]] auto calls() const -> std::uint64_t;
+
+private:
+    struct change
+    {
+        std::int64_t revision;
+        std::string kind;
+        json event;
+    };
+    struct watch
+    {
+        std::string kind;
+        std::int64_t since;
+        std::shared_ptr<http1::exchange> exchange;
+        std::unique_ptr<event::timer> limit;
+    };
+
+    auto on_request(const http1::request_message& request,
+                    std::shared_ptr<http1::exchange> exchange) -> void;
+    auto on_read(const std::string& kind, const std::string& query,
+                 std::shared_ptr<http1::exchange> exchange) -> void;
+    auto on_write(const http1::request_message& request,
+                  const std::string& kind, std::string name,
+                  const std::shared_ptr<http1::exchange>& exchange) -> void;
+    auto changes_since(const std::string& kind, std::int64_t revision) const
+        -> json;
+    auto wake() -> void;
+    auto answer(const std::shared_ptr<http1::exchange>& exchange, int status,
+                const json& body) -> void;
+
+    event::loop& owner;
+    event::tcp_listener listener;
+    std::shared_ptr<http1::server_options> options;
+    std::set<std::shared_ptr<http1::server_connection>> connections;
+    std::vector<std::shared_ptr<http1::exchange>> ignored;
+    std::map<std::string, std::map<std::string, json>> objects;
+    std::vector<change> history;
+    std::vector<std::shared_ptr<watch>> watches;
+    std::int64_t revision = 1;
+    std::int64_t oldest = 1;
+    store_mode mode = store_mode::serves;
+    std::uint64_t call_count = 0;
+};
+
+} // namespace almondtiller::gateway_world
--- /dev/null
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -0,0 +1,317 @@
+#include "gateway_world/fake_upstream.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway_world {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr auto plain_time = core::milliseconds(3);
+constexpr auto event_gap = core::milliseconds(4);
+constexpr auto call_time = core::milliseconds(5);
+
+auto event_text(const std::string& request, int number) -> std::string
+{
+    return "id: " + std::to_string(number) + "\ndata: " + request + "-" +
+           std::to_string(number) + "\n\n";
+}
+
+auto sealed(const std::string& request) -> http1::header_list
+{
+    return {{"X-Almondtiller-Request-Id", request},
+            {"X-Almondtiller-Response-Seal", "seal-" + request}};
+}
+
+} // namespace
+
+auto expected_body(const std::string& request, bool is_stream) -> std::string
+{
+    if (!is_stream) {
+        return "answer to " + request;
+    }
+    auto body = std::string();
+    for (auto number = 1; number <= stream_events; ++number) {
+        body += event_text(request, number);
+    }
+    return body;
+}
+
+fake_upstream::fake_upstream(event::loop& loop, std::string id,
+                             std::string service, std::string zone,
+                             upstream_journal& shared)
+    : owner(loop),
+      own_id(std::move(id)),
+      own_service(std::move(service)),
+      own_zone(std::move(zone)),
+      journal(shared),
+      options(std::make_shared<http1::server_options>())
+{
+    this->options->on_request = [this](auto request, auto exchange) {
+        this->on_request(request, exchange);
+    };
+    this->options->limits = []() {
+        return http1::parser_limits();
+    };
+    this->options->header_timeout = []() {
+        return core::milliseconds(60000);
+    };
+    this->options->idle_timeout = []() {
+        return core::milliseconds(60000);
+    };
+    this->options->on_closed = [this](const auto& connection) {
+        this->connections.erase(connection);
+    };
+    this->listener =
+        std::make_unique<event::tcp_listener>(loop, [this](auto stream) {
+            auto connection = std::make_shared<http1::server_connection>(
+                this->owner, std::move(stream), this->options);
+            this->connections.insert(connection);
+            connection->start();
+        });
+    this->listener->listen({"127.0.0.1", 0});
+    this->port = std::uint16_t(this->listener->port());
+}
+
+fake_upstream::~fake_upstream()
+{
+    this->crash();
+}
+
+auto fake_upstream::id() const -> const std::string&
+{
+    return this->own_id;
+}
+
+auto fake_upstream::service() const -> const std::string&
+{
+    return this->own_service;
+}
+
+auto fake_upstream::zone() const -> const std::string&
+{
+    return this->own_zone;
+}
+
+auto fake_upstream::address() const -> std::string
+{
+    return "127.0.0.1:" + std::to_string(this->port);
+}
+
+auto fake_upstream::set_mode(upstream_mode wanted) -> void
+{
+    this->mode = wanted;
+}
+
+auto fake_upstream::crash() -> void
+{
+    this->listener.reset();
+    this->timers.clear();
+    const auto open = this->connections;
+    for (const auto& connection : open) {
+        connection->close();
+    }
+    std::erase_if(this->journal.results, [this](const auto& item) {
+        return item.first.starts_with(this->address() + "/");
+    });
+}
+
+auto fake_upstream::after(core::milliseconds delay,
+                          std::function<void()> action) -> void
+{
+    auto made = std::shared_ptr<event::timer>();
+    const auto slot = std::make_shared<std::weak_ptr<event::timer>>();
+    made = std::make_shared<event::timer>(
+        this->owner, [this, slot, act = std::move(action)]() {
+            this->timers.erase(slot->lock());
+            act();
+        });
+    *slot = made;
+    made->start(delay);
+    this->timers.insert(std::move(made));
+}
+
+auto fake_upstream::on_request(const http1::request_message& request,
+                               const std::shared_ptr<http1::exchange>& exchange)
+    -> void
+{
+    const auto expected =
+        request.headers.find("X-Almondtiller-Expect-Instance");
+    if (expected != this->own_id) {
+        exchange->respond(421, {{"X-Almondtiller-Instance-Id", this->own_id}},
+                          "");
+        return;
+    }
+    if (this->mode == upstream_mode::full) {
+        exchange->respond(503, {{"X-Almondtiller-Not-Run", "1"}}, "");
+        return;
+    }
+    if (request.target == "/almondtiller/stage-free") {
+        this->free_results(request, exchange);
+        return;
+    }
+    if (this->mode == upstream_mode::hangs) {
+        this->held.push_back(exchange);
+    }
+    if (request.target == "/almondtiller/stage-run") {
+        this->run_stage(request, exchange);
+        return;
+    }
+    const auto id =
+        std::string(request.headers.find("X-Almondtiller-Request-Id"));
+    const auto is_stream = request.headers.has("X-Almondtiller-Model");
+    if (is_stream) {
+        const auto status = this->check_inputs(request, id);
+        if (status != 200) {
+            exchange->respond(status, {{"X-Almondtiller-Not-Run", "1"}}, "");
+            return;
+        }
+    }
+    this->journal.runs.push_back(
+        {id, this->own_id, request.target, this->owner.now()});
+    if (this->mode == upstream_mode::hangs) {
+        return;
+    }
+    if (is_stream) {
+        const auto last = std::string(request.headers.find("Last-Event-Id"));
+        const auto first = last.empty() ? 1 : std::stoi(last) + 1;
+        this->run_stream(id, first, exchange);
+    } else {
+        this->run_plain(id, exchange);
+    }
+}
+
+auto fake_upstream::check_inputs(const http1::request_message& request,
+                                 const std::string& id) -> int
+{
+    if (request.headers.find("X-Almondtiller-Pieces").empty()) {
+        return 200;
+    }
+    auto inputs = std::string(request.headers.find("X-Almondtiller-Inputs"));
+    if (inputs.empty()) {
+        return 400;
+    }
+    auto handles = std::set<std::string>();
+    while (!inputs.empty()) {
+        const auto comma = inputs.find(',');
+        handles.insert(inputs.substr(0, comma));
+        inputs = comma == std::string::npos ? "" : inputs.substr(comma + 1);
+    }
+    for (const auto& handle : handles) {
+        const auto found = this->journal.results.find(handle);
+        if (found == this->journal.results.end()) {
+            return 409;
+        }
+        if (found->second.request != id) {
+            this->journal.faults.push_back("input of another request: " + id);
+        }
+    }
+    return 200;
+}
+
+auto fake_upstream::run_stage(const http1::request_message& request,
+                              const std::shared_ptr<http1::exchange>& exchange)
+    -> void
+{
+    ++this->journal.stage_calls;
+    if (this->mode == upstream_mode::hangs) {
+        return;
+    }
+    auto answers = json::array();
+    const auto body = json::parse(request.body);
+    for (const auto& item : body["items"]) {
+        auto output = stage_output();
+        output.request = item["id"].get<std::string>();
+        output.stage = item["stage"].get<std::uint32_t>();
+        output.piece = item["piece"].get<std::uint32_t>();
+        auto is_gone = false;
+        for (const auto& input : item.value("inputs", json::array())) {
+            const auto found =
+                this->journal.results.find(input.get<std::string>());
+            is_gone = is_gone || found == this->journal.results.end();
+            if (found != this->journal.results.end() &&
+                found->second.request != output.request) {
+                this->journal.faults.push_back("piece with a foreign input: " +
+                                               output.request);
+            }
+        }
+        if (is_gone) {
+            answers.push_back({{"reason", "gone"}});
+            continue;
+        }
+        const auto handle =
+            this->address() + "/" + std::to_string(++this->journal.last_handle);
+        this->journal.results[handle] = output;
+        answers.push_back({{"handle", handle}});
+    }
+    const auto text = json{{"items", answers}}.dump();
+    this->after(call_time, [this, exchange, text]() {
+        if (this->mode == upstream_mode::breaks_off) {
+            exchange->start(200, {}, text.size());
+            exchange->send(text.substr(0, text.size() / 2));
+            exchange->abort();
+            return;
+        }
+        exchange->respond(200, {{"Content-Type", "application/json"}}, text);
+    });
+}
+
+auto fake_upstream::free_results(
+    const http1::request_message& request,
+    const std::shared_ptr<http1::exchange>& exchange) -> void
+{
+    const auto body = json::parse(request.body);
+    for (const auto& handle : body["handles"]) {
+        this->journal.freed +=
+            this->journal.results.erase(handle.get<std::string>());
+    }
+    exchange->respond(200, {}, "{}");
+}
+
+auto fake_upstream::run_plain(const std::string& request,
+                              const std::shared_ptr<http1::exchange>& exchange)
+    -> void
+{
+    this->after(plain_time, [this, request, exchange]() {
+        const auto body = expected_body(request, false);
+        if (this->mode == upstream_mode::breaks_off) {
+            exchange->start(200, sealed(request), body.size());
+            exchange->send(body.substr(0, body.size() / 2));
+            exchange->abort();
+            return;
+        }
+        exchange->respond(200, sealed(request), body);
+    });
+}
+
+auto fake_upstream::run_stream(const std::string& request, int first,
+                               const std::shared_ptr<http1::exchange>& exchange)
+    -> void
+{
+    this->after(event_gap, [this, request, first, exchange]() {
+        if (exchange->is_finished()) {
+            return;
+        }
+        if (!exchange->is_started()) {
+            exchange->start(200, sealed(request), std::nullopt);
+        }
+        const auto text = event_text(request, first);
+        if (this->mode == upstream_mode::breaks_off && first > 2) {
+            exchange->send(text.substr(0, text.size() / 2));
+            exchange->abort();
+            return;
+        }
+        exchange->send(text);
+        if (first >= stream_events) {
+            exchange->finish();
+            return;
+        }
+        this->run_stream(request, first + 1, exchange);
+    });
+}
+
+} // namespace almondtiller::gateway_world
--- /dev/null
+++ b/tests/fakes/gateway_world/world.cpp
@@ -0,0 +1,189 @@
+#include "gateway_world/world.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <utility>
+
+namespace almondtiller::gateway_world {
+
+namespace {
+
+auto route(const std::string& path, const std::string& kind,
+           const std::string& service, int attempts) -> json
+{
+    return {{"name", path},
+            {"hostname", "api.example"},
+            {"pathPrefix", "/" + path + "/"},
+            {"routeType", kind},
+            {"timeoutMs", 3000},
+            {"targetLatencyMs", 600},
+            {"priority", 1},
+            {"service", service},
+            {"maxAttempts", attempts},
+            {"public", false},
+            {"resumable", path == "resumable"}};
+}
+
+auto stage_service(const std::string& name) -> json
+{
+    return {{"name", name},
+            {"maxConns", 100},
+            {"pieces",
+             {{"slots", 1},
+              {"queue", 2},
+              {"batch", 8},
+              {"callMs", 5.0},
+              {"itemMs", 0.5},
+              {"headroomMb", 50.0},
+              {"handleS", 4.0}}}};
+}
+
+} // namespace
+
+auto free_port() -> std::uint16_t
+{
+    const auto descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    auto address = sockaddr_in();
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    auto size = socklen_t(sizeof(address));
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+auto make_settings(const std::string& node, const std::string& zone,
+                   const core::endpoint& store) -> serving::node_settings
+{
+    const auto here = []() {
+        return core::endpoint{"127.0.0.1", free_port()};
+    };
+    auto settings = serving::node_settings();
+    settings.node = core::node_id(node);
+    settings.zone = core::zone_name(zone);
+    settings.region = core::region_name("region");
+    settings.front = here();
+    settings.readiness = here();
+    settings.directory = here();
+    settings.peers = here();
+    settings.metrics = here();
+    settings.store = store;
+    settings.grace = core::milliseconds(4000);
+    settings.retry_extra = 50;
+    return settings;
+}
+
+auto settings_text(const serving::node_settings& settings) -> std::string
+{
+    const auto quoted = [](const std::string& text) {
+        return "\"" + text + "\"\n";
+    };
+    return "nodeName = " + quoted(settings.node.str()) +
+           "zone = " + quoted(settings.zone.str()) +
+           "region = " + quoted(settings.region.str()) +
+           "ip = \"127.0.0.1\"\n"
+           "innerPortRange = [" +
+           std::to_string(settings.peers.port) + ", 65535]\n[listen]\n" +
+           "front = " + quoted(core::to_text(settings.front)) +
+           "readyAddr = " + quoted(core::to_text(settings.readiness)) +
+           "directory = " + quoted(core::to_text(settings.directory)) +
+           "[bounds]\ngraceS = 4\nretryBudgetRatio = 0.2\nbudgetExtra = 50\n" +
+           "[platform]\naddress = " + quoted(core::to_text(settings.store));
+}
+
+world::world()
+{
+    this->store.listen();
+    for (const auto* zone : {"a", "b"}) {
+        const auto name = std::string(zone);
+        this->add_upstream("feed-" + name, "feed", name);
+        this->add_upstream("map-" + name, "map", name);
+        this->add_upstream("model1-" + name, "model", name);
+        this->add_upstream("model2-" + name, "model", name);
+        this->add_upstream("desk-" + name, "desk", name);
+    }
+    this->put_config({"key"});
+}
+
+auto world::run_until(const std::function<bool()>& ready,
+                      core::milliseconds bound) -> bool
+{
+    const auto end = this->clock.now() + bound;
+    while (!ready()) {
+        if (this->clock.now() >= end) {
+            return false;
+        }
+        this->loop.run_once();
+    }
+    return true;
+}
+
+auto world::run_for(core::milliseconds time) -> void
+{
+    auto over = false;
+    auto timer = event::timer(this->loop, [&over]() { over = true; });
+    timer.start(time);
+    this->run_until([&over]() { return over; });
+}
+
+auto world::add_upstream(const std::string& id, const std::string& service,
+                         const std::string& zone) -> fake_upstream&
+{
+    auto made = std::make_unique<fake_upstream>(this->loop, id, service, zone,
+                                                this->journal);
+    auto& upstream = *made;
+    this->upstreams[id] = std::move(made);
+    this->register_upstream(upstream, "ready");
+    return upstream;
+}
+
+auto world::register_upstream(const fake_upstream& upstream,
+                              const std::string& state) -> void
+{
+    this->store.put("servers", upstream.id(),
+                    {{"service", upstream.service()},
+                     {"address", upstream.address()},
+                     {"zone", upstream.zone()},
+                     {"version", "v1"},
+                     {"slots", 32},
+                     {"state", state},
+                     {"coldLeftMs", 0},
+                     {"seq", ++this->beats}});
+}
+
+auto world::crash_upstream(const std::string& id) -> void
+{
+    this->upstreams.erase(id);
+    this->store.remove("servers", id);
+}
+
+auto world::put_config(const std::vector<std::string>& keys) -> void
+{
+    auto staged = route("staged", "streaming", "model", 1);
+    staged["stages"] = json::array(
+        {{{"service", "feed"}, {"after", json::array()}, {"bytes", 8000}},
+         {{"service", "map"}, {"after", {0}}, {"bytes", 60000}}});
+    const auto model =
+        json{{"name", "model"},
+             {"maxConns", 100},
+             {"engine", {{"slots", 32}, {"kvCapacityTokens", 100000}}}};
+    this->store.put("config", "main",
+                    {{"version", ++this->version},
+                     {"routes",
+                      {staged, route("stream", "streaming", "model", 1),
+                       route("resumable", "streaming", "model", 3),
+                       route("read", "idempotent", "desk", 3),
+                       route("book", "non_idempotent", "desk", 1)}},
+                     {"services",
+                      {model,
+                       stage_service("feed"),
+                       stage_service("map"),
+                       {{"name", "desk"}, {"maxConns", 100}}}},
+                     {"limits", {{"idleTimeoutMs", 15000}}},
+                     {"tenants", {{{"name", "w"}, {"apiKeys", keys}}}}});
+}
+
+} // namespace almondtiller::gateway_world
--- /dev/null
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -0,0 +1,130 @@
+#include "gateway_world/world_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway_world {
+
+namespace {
+
+constexpr auto caller_patience = core::milliseconds(4000);
+
+auto is_repeatable(const std::string& path) -> bool
+{
+    return path == "read" || path == "resumable";
+}
+
+auto is_stream(const std::string& path) -> bool
+{
+    return path != "read" && path != "book";
+}
+
+auto request_text(const call_record& record, const std::string& key)
+    -> std::string
+{
+    auto request = http1::request_message();
+    request.method = record.path == "read" ? "GET" : "POST";
+    request.target = "/" + record.path + "/x";
+    request.headers = {{"Host", "api.example"},
+                       {"X-Almondtiller-Request-Id", record.id},
+                       {"X-Almondtiller-Deadline-Ms", "3000"},
+                       {"Authorization", "Bearer " + key}};
+    if (is_stream(record.path)) {
+        request.headers.add("X-Almondtiller-Model", "m");
+        request.headers.add("X-Almondtiller-Token-Counts", "100,20");
+        request.headers.add("X-Almondtiller-Prompt-Prefix", "5c:60,9b:40");
+    }
+    if (record.path == "staged") {
+        request.headers.add("X-Almondtiller-Pieces", "2,3");
+        request.headers.add("X-Almondtiller-Piece-Key", "piece");
+    }
+    if (request.method == "POST") {
+        request.body = "body of " + record.id;
+    }
+    return http1::serialize(request);
+}
+
+} // namespace
+
+world_caller::world_caller(world& home) : around(home), pool(home.loop)
+{}
+
+auto world_caller::call(const core::endpoint& front, const std::string& path,
+                        const std::string& key) -> call_record&
+{
+    auto made = std::make_unique<call_record>();
+    auto& record = *made;
+    record.id = "r" + std::to_string(++this->last);
+    record.path = path;
+    record.sent = this->around.clock.now();
+    this->calls.push_back(std::move(made));
+    auto hooks = http1::pool_hooks();
+    hooks.on_head = [&record](const http1::response_head& head) {
+        record.status = head.status;
+        record.is_sealed = head.headers.find("X-Almondtiller-Response-Seal") ==
+                           "seal-" + record.id;
+        const auto after = std::string(head.headers.find("Retry-After"));
+        record.retry_after = after.empty() ? -1 : std::stod(after);
+    };
+    hooks.on_body = [&record](std::string_view bytes) {
+        record.body += bytes;
+    };
+    hooks.on_done = [&record](std::error_code error, bool) {
+        record.is_done = true;
+        record.is_whole = !error;
+    };
+    auto options = http1::call_options();
+    options.longest_idle = core::milliseconds(2000);
+    this->pool.call({core::to_text(front), front}, request_text(record, key),
+                    options, std::move(hooks));
+    return record;
+}
+
+auto world_caller::wait(const call_record& record) -> bool
+{
+    return this->around.run_until([&record]() { return record.is_done; },
+                                  caller_patience);
+}
+
+auto world_caller::faults() const -> std::vector<std::string>
+{
+    auto found = this->around.journal.faults;
+    auto runs = std::map<std::string, int>();
+    for (const auto& run : this->around.journal.runs) {
+        ++runs[run.request];
+    }
+    for (const auto& record : this->calls) {
+        const auto ran = runs.contains(record->id) ? runs[record->id] : 0;
+        const auto is_refusal = record->status == 503 || record->status == 429;
+        if (!is_repeatable(record->path) && ran > 1) {
+            found.push_back(record->id + " (" + record->path + ") ran twice");
+        }
+        if (!is_repeatable(record->path) && is_refusal && ran > 0) {
+            found.push_back(record->id + " was refused and ran");
+        }
+        if (record->status == 200 && record->is_whole &&
+            (!record->is_sealed ||
+             record->body !=
+                 expected_body(record->id, is_stream(record->path)))) {
+            found.push_back(record->id + " (" + record->path +
+                            ") got a wrong answer: " + record->body);
+        }
+    }
+    return found;
+}
+
+auto world_caller::records() const
+    -> const std::vector<std::unique_ptr<call_record>>&
+{
+    return this->calls;
+}
+
+auto world_caller::succeeded() const -> std::size_t
+{
+    return std::size_t(std::count_if(
+        this->calls.begin(), this->calls.end(), [](const auto& record) {
+            return record->status == 200 && record->is_whole;
+        }));
+}
+
+} // namespace almondtiller::gateway_world
--- a/tests/unit/dispatch/placement_test.cpp
+++ b/tests/unit/dispatch/placement_test.cpp
@@ -163,6 +163,45 @@
     EXPECT_EQ(outcomes[0].upstream.id.str(), "a");
 }
 
+// The users' bound: in any window, repeats are at most the ratio times the
+// first sends plus a constant; first sends are those of the window, of the one
+// before it or of the one half a window before it, whichever has most. With
+// half of ratio and constant the budget keeps it.
+RC_GTEST_PROP(repeat_budget, holds_in_any_window,
+              (std::vector<std::pair<bool, std::uint8_t>> sends))
+{
+    const auto window = core::duration(std::chrono::seconds(1));
+    constexpr auto ratio = 0.2;
+    constexpr auto extra = 3.0;
+    auto budget = repeat_budget(ratio / 2, extra / 2, window);
+    auto now = core::time_point(std::chrono::hours(1));
+    auto firsts = std::vector<core::time_point>();
+    auto repeats = std::vector<core::time_point>();
+    const auto count = [&window](const auto& times, core::time_point end) {
+        return std::count_if(times.begin(), times.end(),
+                             [end, &window](auto at) {
+                                 return at <= end && end - at <= window;
+                             });
+    };
+    const auto check = [&](core::time_point end) {
+        const auto most =
+            std::max({count(firsts, end), count(firsts, end - window / 2),
+                      count(firsts, end - window)});
+        RC_ASSERT(double(count(repeats, end)) <= ratio * double(most) + extra);
+    };
+    for (const auto& [is_repeat, pause] : sends) {
+        now += milliseconds(pause % 60);
+        if (!is_repeat) {
+            budget.deposit(now);
+            firsts.push_back(now);
+        } else if (budget.try_withdraw(now)) {
+            repeats.push_back(now);
+        }
+        check(now);
+        check(now + milliseconds(pause));
+    }
+}
+
 RC_GTEST_PROP(placement, keeps_a_cold_upstream_below_its_rate,
               (std::vector<std::uint8_t> pauses))
 {
--- /dev/null
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -0,0 +1,295 @@
+#include "gateway_world/world_caller.h"
+#include "services/gateway/event_log.h"
+#include "services/gateway/gateway.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+namespace almondtiller::gateway {
+namespace {
+
+using gateway_world::call_record;
+using gateway_world::store_mode;
+using gateway_world::upstream_mode;
+
+/// Nodes of one process over the world's loop.
+class whole_path_test : public testing::Test
+{
+protected:
+    struct running_node
+    {
+        serving::node_settings settings;
+        std::unique_ptr<event_log> log;
+        std::unique_ptr<core::metrics_registry> metrics;
+        std::unique_ptr<node> process;
+        bool has_stopped = false;
+    };
+
+    whole_path_test() : sink(open("/dev/null", O_WRONLY | O_CLOEXEC))
+    {
+        for (const auto* zone : {"a", "b", "a"}) {
+            this->add_node(zone);
+        }
+        for (const auto& running : this->nodes) {
+            this->wait_ready(*running);
+        }
+    }
+    ~whole_path_test() override
+    {
+        this->nodes.clear();
+        close(this->sink);
+    }
+
+    auto add_node(const std::string& zone) -> running_node&
+    {
+        auto made = std::make_unique<running_node>();
+        auto& running = *made;
+        running.settings = gateway_world::make_settings(
+            "n" + std::to_string(this->nodes.size()), zone,
+            this->world.store.address());
+        running.log = std::make_unique<event_log>(this->world.loop, this->sink,
+                                                  running.settings.node.str());
+        running.metrics = std::make_unique<core::metrics_registry>();
+        running.process = std::make_unique<node>(
+            this->world.loop, running.settings, *running.log, *running.metrics,
+            [&running]() { running.has_stopped = true; });
+        EXPECT_FALSE(running.process->start());
+        this->nodes.push_back(std::move(made));
+        return running;
+    }
+
+    /// \return The status of a node's readiness check, 0 without an answer.
+    auto readiness(const running_node& running) -> int
+    {
+        auto status = 0;
+        auto is_done = false;
+        auto hooks = http1::pool_hooks();
+        hooks.on_head = [&status](const auto& head) {
+            status = head.status;
+        };
+        hooks.on_done = [&is_done](auto, bool) {
+            is_done = true;
+        };
+        this->pool.call({core::to_text(running.settings.readiness),
+                         running.settings.readiness},
+                        "GET /almondtiller/readyz HTTP/1.1\r\nHost: n\r\n\r\n",
+                        {}, std::move(hooks));
+        this->world.run_until([&is_done]() { return is_done; });
+        return status;
+    }
+
+    auto wait_ready(const running_node& running) -> void
+    {
+        while (this->readiness(running) != 200) {
+            this->world.run_for(core::milliseconds(5));
+        }
+    }
+
+    auto directory_answer(const running_node& running) -> std::string
+    {
+        auto body = std::string();
+        auto is_done = false;
+        auto hooks = http1::pool_hooks();
+        hooks.on_body = [&body](auto bytes) {
+            body += bytes;
+        };
+        hooks.on_done = [&is_done](auto, bool) {
+            is_done = true;
+        };
+        this->pool.call({core::to_text(running.settings.directory),
+                         running.settings.directory},
+                        "GET /almondtiller/resolve?name=api.example&zone=a "
+                        "HTTP/1.1\r\nHost: n\r\n\r\n",
+                        {}, std::move(hooks));
+        this->world.run_until([&is_done]() { return is_done; });
+        return body;
+    }
+
+    auto ask(const std::string& path, std::size_t at = 0,
+             const std::string& key = "key") -> const call_record&
+    {
+        const auto& record =
+            this->caller.call(this->nodes[at]->settings.front, path, key);
+        EXPECT_TRUE(this->caller.wait(record)) << path;
+        return record;
+    }
+
+    auto expect_no_faults() -> void
+    {
+        EXPECT_EQ(this->caller.faults(), std::vector<std::string>());
+    }
+
+    gateway_world::world world;
+    http1::client_pool pool{world.loop};
+    gateway_world::world_caller caller{world};
+    int sink;
+    std::vector<std::unique_ptr<running_node>> nodes;
+};
+
+TEST_F(whole_path_test, serves_every_kind_of_request_at_every_node)
+{
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        for (const auto* path :
+             {"staged", "stream", "resumable", "read", "book"}) {
+            EXPECT_EQ(this->ask(path, at).status, 200) << path;
+        }
+    }
+    this->expect_no_faults();
+    EXPECT_EQ(this->caller.succeeded(), 15U);
+    EXPECT_TRUE(this->world.run_until([this]() {
+        return this->world.journal.results.empty();
+    })) << "results are freed";
+}
+
+TEST_F(whole_path_test, fills_stage_calls_over_all_nodes)
+{
+    auto open = std::vector<const call_record*>();
+    for (auto number = std::size_t(0); number < 24; ++number) {
+        open.push_back(&this->caller.call(
+            this->nodes[number % 3]->settings.front, "staged"));
+    }
+    for (const auto* record : open) {
+        EXPECT_TRUE(this->caller.wait(*record));
+        EXPECT_EQ(record->status, 200);
+    }
+    // 120 pieces; a call for each request and stage would make 48.
+    EXPECT_LT(this->world.journal.stage_calls, 36U);
+    this->expect_no_faults();
+}
+
+TEST_F(whole_path_test, rejects_what_the_configuration_does_not_allow)
+{
+    EXPECT_EQ(this->ask("unknown").status, 404);
+    EXPECT_EQ(this->ask("read", 0, "other").status, 401);
+    EXPECT_TRUE(this->world.journal.runs.empty());
+}
+
+TEST_F(whole_path_test, a_new_configuration_is_in_force_everywhere)
+{
+    EXPECT_EQ(this->ask("read", 0, "second").status, 401);
+    this->world.put_config({"second"});
+    EXPECT_TRUE(this->world.run_until([this]() {
+        auto in_force = true;
+        for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+            in_force =
+                in_force && this->ask("read", at, "second").status == 200;
+        }
+        return in_force;
+    }));
+    EXPECT_EQ(this->ask("read", 1, "key").status, 401);
+}
+
+TEST_F(whole_path_test, repeats_what_may_be_repeated_when_an_answer_breaks_off)
+{
+    this->world.upstreams["desk-a"]->set_mode(upstream_mode::breaks_off);
+    for (auto number = 0; number < 6; ++number) {
+        EXPECT_EQ(this->ask("read").status, 200);
+    }
+    auto lost = 0;
+    for (auto number = 0; number < 6; ++number) {
+        lost += this->ask("book").status == 502 ? 1 : 0;
+    }
+    EXPECT_GT(lost, 0);
+    this->expect_no_faults();
+}
+
+TEST_F(whole_path_test, a_resumable_stream_goes_on_at_another_upstream)
+{
+    this->world.upstreams["model1-a"]->set_mode(upstream_mode::breaks_off);
+    this->world.upstreams["model1-b"]->set_mode(upstream_mode::breaks_off);
+    for (auto number = 0; number < 4; ++number) {
+        const auto& record = this->ask("resumable");
+        EXPECT_EQ(record.status, 200);
+        EXPECT_TRUE(record.is_whole);
+    }
+    for (auto number = 0; number < 4; ++number) {
+        this->ask("stream");
+    }
+    this->expect_no_faults();
+}
+
+TEST_F(whole_path_test, goes_elsewhere_when_an_upstream_turns_work_away)
+{
+    this->world.upstreams["desk-a"]->set_mode(upstream_mode::full);
+    this->world.upstreams["feed-b"]->set_mode(upstream_mode::full);
+    for (auto number = 0; number < 4; ++number) {
+        EXPECT_EQ(this->ask("book").status, 200);
+        EXPECT_EQ(this->ask("staged").status, 200);
+    }
+    this->expect_no_faults();
+}
+
+TEST_F(whole_path_test, sends_nothing_to_draining_upstreams_or_evacuated_zones)
+{
+    this->world.register_upstream(*this->world.upstreams["desk-a"], "draining");
+    this->world.store.put("evacuations", "b", {});
+    this->world.add_upstream("desk-c", "desk", "c");
+    this->world.run_for(core::milliseconds(600));
+    const auto before = this->world.journal.runs.size();
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->ask("book", at).status, 200);
+    }
+    for (auto index = before; index < this->world.journal.runs.size();
+         ++index) {
+        EXPECT_EQ(this->world.journal.runs[index].upstream, "desk-c");
+    }
+}
+
+TEST_F(whole_path_test, a_leaving_node_ends_what_it_has_and_goes)
+{
+    auto& leaving = *this->nodes[0];
+    const auto& open = this->caller.call(leaving.settings.front, "staged");
+    leaving.process->leave();
+    EXPECT_EQ(this->readiness(leaving), 503);
+    EXPECT_TRUE(this->caller.wait(open));
+    EXPECT_EQ(open.status, 200);
+    const auto own = core::to_text(leaving.settings.front);
+    EXPECT_TRUE(this->world.run_until([this, &own]() {
+        return this->directory_answer(*this->nodes[1]).find(own) ==
+               std::string::npos;
+    }));
+    EXPECT_TRUE(
+        this->world.run_until([&leaving]() { return leaving.has_stopped; }));
+    EXPECT_FALSE(this->world.store.has("almondtiller-nodes", "n0"));
+    this->nodes.erase(this->nodes.begin());
+    EXPECT_EQ(this->ask("staged").status, 200);
+    this->expect_no_faults();
+}
+
+TEST_F(whole_path_test, serves_on_while_the_store_is_away)
+{
+    this->world.store.set_mode(store_mode::silent);
+    this->world.run_for(core::milliseconds(300));
+    for (const auto* path : {"staged", "read", "book"}) {
+        EXPECT_EQ(this->ask(path).status, 200);
+    }
+    this->world.store.set_mode(store_mode::serves);
+    this->world.put_config({"key", "later"});
+    EXPECT_TRUE(this->world.run_until(
+        [this]() { return this->ask("read", 2, "later").status == 200; }));
+    this->expect_no_faults();
+}
+
+TEST_F(whole_path_test, follows_the_store_after_its_history_is_gone)
+{
+    this->world.store.compact();
+    this->world.put_config({"key", "later"});
+    EXPECT_TRUE(this->world.run_until(
+        [this]() { return this->ask("read", 1, "later").status == 200; }));
+}
+
+TEST_F(whole_path_test, a_lost_owner_is_replaced)
+{
+    for (auto turn = 0; turn < 2; ++turn) {
+        this->nodes.erase(this->nodes.begin());
+        for (auto number = 0; number < 4; ++number) {
+            EXPECT_EQ(this->ask("staged").status, 200);
+        }
+    }
+    this->expect_no_faults();
+}
+
+} // namespace
+} // namespace almondtiller::gateway
