Let a few nodes of a large fleet watch the store for all

Change: in a fleet of more than 16 nodes eight large machines watch; the others learn revisions with the heartbeats and fetch what changed. A node that hears no watcher watches for itself.

--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -134,7 +134,9 @@
                 live.push_back({peer.entry.node, status->second.capacity});
             }
         }
-        this->client.set_candidates(choose_owners(live));
+        const auto owners = choose_owners(live);
+        this->follower.set_watchers(choose_watchers(owners, live.size()));
+        this->client.set_candidates(owners);
     }
 
     auto on_peer_status(const core::node_id& peer, const std::string& text)
--- a/src/services/gateway/owner_choice.cpp
+++ b/src/services/gateway/owner_choice.cpp
@@ -8,6 +8,10 @@
 
 /// Share of the largest machine's capacity that an owner must have.
 constexpr auto least_share = 0.5;
+/// Up to that many nodes each watch the store.
+constexpr auto small_fleet = std::size_t(16);
+/// Enough that a zone's loss leaves some, few enough to be cheap.
+constexpr auto most_watchers = std::size_t(8);
 
 } // namespace
 
@@ -33,4 +37,18 @@
     return owners.empty() ? all : owners;
 }
 
+auto choose_watchers(const std::vector<core::node_id>& owners, std::size_t live)
+    -> std::vector<core::node_id>
+{
+    if (live <= small_fleet) {
+        return {};
+    }
+    auto watchers = owners;
+    std::sort(watchers.begin(), watchers.end());
+    if (watchers.size() > most_watchers) {
+        watchers.resize(most_watchers);
+    }
+    return watchers;
+}
+
 } // namespace almondtiller::gateway
--- a/src/services/gateway/owner_choice.h
+++ b/src/services/gateway/owner_choice.h
@@ -23,4 +23,13 @@
 [[nodiscard]] auto choose_owners(const std::vector<owner_candidate>& live)
     -> std::vector<core::node_id>;
 
+/// Chooses the nodes that watch the platform's store for the others. Load
+/// pattern: in a large fleet each change of an upstream ends the watch of
+/// every node, and each watch is a call that is paid for.
+/// \return Some owners, the same on all nodes; empty in a small fleet, where
+///         each node watches for itself.
+[[nodiscard]] auto choose_watchers(const std::vector<core::node_id>& owners,
+                                   std::size_t live)
+    -> std::vector<core::node_id>;
+
 } // namespace almondtiller::gateway
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -12,6 +12,9 @@
 
 constexpr auto snapshot_topic = "snapshot";
 constexpr auto snapshot_limit = core::milliseconds(1000);
+/// First byte of a snapshot's answer.
+constexpr auto changes_mark = 'c';
+constexpr auto page_mark = 'p';
 /// Pause between watches of upstreams and nodes, whose changes come together.
 constexpr auto batch_pause = core::milliseconds(150);
 /// The nodes' watches end that far apart, so that one of them asks anew about
@@ -49,6 +52,7 @@
       changed(std::move(on_changed)),
       announce_timer(loop, [this]() { this->put_entry(false); }),
       expiry(loop, [this]() {
+          this->update_following();
           if (this->known.expire(this->owner.now())) {
               this->log.write(severity::notice, "upstreams_expired", {});
               this->changed();
@@ -89,17 +93,46 @@
     this->mesh.handle(snapshot_topic, [this](const core::node_id&,
                                              const std::string& body,
                                              const peer_mesh::reply& answer) {
-        const auto kind = std::size_t(std::strtoul(body.c_str(), nullptr, 10));
-        if (kind < kinds) {
-            answer(adapter::encode_page(this->mirrors[kind]->objects(),
-                                        this->mirrors[kind]->revision()));
-        } else {
-            answer(std::string());
-        }
+        char* rest = nullptr;
+        const auto kind = std::strtoul(body.c_str(), &rest, 10);
+        const auto since = std::strtoll(rest, nullptr, 10);
+        answer(kind < kinds ? this->encode_since(kind, since) : std::string());
         return std::function<void()>();
     });
 }
 
+auto store_follower::encode_since(std::size_t kind, std::int64_t since) const
+    -> std::string
+{
+    const auto& mirror = *this->mirrors[kind];
+    if (const auto changes = mirror.changes_since(since)) {
+        return changes_mark +
+               adapter::encode_changes(*changes, mirror.revision());
+    }
+    return page_mark +
+           adapter::encode_page(mirror.objects(), mirror.revision());
+}
+
+auto store_follower::set_watchers(std::vector<core::node_id> nodes) -> void
+{
+    this->watchers = std::move(nodes);
+    this->update_following();
+}
+
+auto store_follower::update_following() -> void
+{
+    const auto is_watcher =
+        std::find(this->watchers.begin(), this->watchers.end(),
+                  this->own.node) != this->watchers.end();
+    const auto hears_one = std::any_of(
+        this->watchers.begin(), this->watchers.end(),
+        [this](const auto& node) { return this->mesh.is_alive(node); });
+    const auto follows = is_watcher || !hears_one || !this->is_complete();
+    for (auto& mirror : this->mirrors) {
+        mirror->set_following(follows || !mirror->has_list());
+    }
+}
+
 auto store_follower::start() -> void
 {
     for (auto& mirror : this->mirrors) {
@@ -285,7 +318,10 @@
             this->fetched[kind] = now;
             continue;
         }
-        if (now - this->fetched[kind] > silent_watch) {
+        // An own watch mostly brings the change by itself.
+        const auto patience =
+            mirror.is_following() ? silent_watch : core::milliseconds(0);
+        if (!this->is_fetching[kind] && now - this->fetched[kind] >= patience) {
             this->fetched[kind] = now;
             this->fetch_from(peer, kind);
         }
@@ -295,30 +331,46 @@
 auto store_follower::fetch_from(const core::node_id& peer, std::size_t kind)
     -> void
 {
+    this->is_fetching[kind] = true;
     this->mesh.call(
-        peer, snapshot_topic, std::to_string(kind), snapshot_limit,
+        peer, snapshot_topic,
+        std::to_string(kind) + " " +
+            std::to_string(this->mirrors[kind]->revision()),
+        snapshot_limit,
         [this, peer, kind](const core::result<std::string>& answer) {
-            auto page =
-                answer ? adapter::decode_page(answer.value())
-                       : core::result<adapter::object_page>(answer.error());
-            if (!page) {
-                return;
-            }
-            auto& mirror = *this->mirrors[kind];
-            const auto revision = page.value().revision;
-            if (revision <= mirror.revision()) {
-                return;
+            this->is_fetching[kind] = false;
+            if (answer && !answer.value().empty()) {
+                this->take_snapshot(peer, kind, answer.value());
             }
-            this->log.write(severity::notice, "adopted_from_peer",
-                            {{"peer", peer.str()},
-                             {"kind", std::to_string(kind)},
-                             {"revision", std::to_string(revision)},
-                             {"had", std::to_string(mirror.revision())}});
-            mirror.adopt(revision, std::move(page.value().objects));
-            mirror.nudge(silent_watch);
         });
 }
 
+auto store_follower::take_snapshot(const core::node_id& peer, std::size_t kind,
+                                   const std::string& body) -> void
+{
+    auto& mirror = *this->mirrors[kind];
+    const auto had = mirror.revision();
+    const auto text = std::string_view(body).substr(1);
+    if (body.front() == changes_mark) {
+        if (const auto changes = adapter::decode_changes(text)) {
+            mirror.adopt_changes(changes.value());
+        }
+    } else if (auto page = adapter::decode_page(text)) {
+        mirror.adopt(page.value().revision, std::move(page.value().objects));
+    }
+    if (mirror.revision() == had) {
+        return;
+    }
+    this->log.write(severity::notice, "adopted_from_peer",
+                    {{"peer", peer.str()},
+                     {"kind", std::to_string(kind)},
+                     {"revision", std::to_string(mirror.revision())},
+                     {"had", std::to_string(had)}});
+    if (mirror.is_following()) {
+        mirror.nudge(silent_watch);
+    }
+}
+
 auto store_follower::announce(const adapter::node_entry& entry) -> void
 {
     this->own = entry;
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -32,6 +32,10 @@
     auto on_peer_revisions(const core::node_id& peer,
                            const std::vector<std::int64_t>& revisions) -> void;
 
+    /// \param watchers The nodes that ask the store for all; empty: each for
+    ///        itself.
+    auto set_watchers(std::vector<core::node_id> watchers) -> void;
+
     /// \return Whether enough is known to serve.
     [[nodiscard]] auto is_complete() const -> bool;
 
@@ -56,6 +60,11 @@
     auto on_nodes() -> void;
     auto fetch_from(const core::node_id& peer, std::size_t kind) -> void;
     auto put_entry(bool exists) -> void;
+    auto update_following() -> void;
+    [[nodiscard]] auto encode_since(std::size_t kind,
+                                    std::int64_t revision) const -> std::string;
+    auto take_snapshot(const core::node_id& peer, std::size_t kind,
+                       const std::string& body) -> void;
 
     event::loop& owner;
     http1::client_pool& pool;
@@ -68,6 +77,8 @@
     std::array<core::time_point, kinds> fetched;
     adapter::node_entry own;
     std::uint64_t watches = 0;
+    std::vector<core::node_id> watchers;
+    std::array<bool, kinds> is_fetching{};
     bool is_withdrawn = false;
     event::timer announce_timer;
     event::timer expiry;
--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -15,6 +15,9 @@
 constexpr auto shortest_backoff = core::milliseconds(100);
 constexpr auto longest_backoff = core::milliseconds(800);
 constexpr auto failure_status = 0;
+/// Changes that are kept for other nodes; a node that missed more gets all
+/// objects.
+constexpr auto longest_history = std::size_t(256);
 
 } // namespace
 
@@ -45,6 +48,9 @@
 
 auto store_mirror::read() -> void
 {
+    if (!this->follows) {
+        return;
+    }
     if (this->must_list) {
         this->incoming.clear();
         this->list("");
@@ -111,6 +117,7 @@
         this->current = std::exchange(this->incoming, {});
         this->current_revision = page.value().revision;
         this->listed = true;
+        this->forget_history();
         this->called.on_list();
     }
     this->watch();
@@ -151,8 +158,14 @@
     }
     this->succeed();
     this->count_unreadable(seen.value().unreadable);
+    const auto is_changed = this->apply(seen.value());
+    this->next.start(is_changed ? this->pause : core::milliseconds(0));
+}
+
+auto store_mirror::apply(const adapter::object_changes& seen) -> bool
+{
     auto changes = std::vector<adapter::object_change>();
-    for (auto& change : seen.value().changes) {
+    for (const auto& change : seen.changes) {
         const auto known = this->current.find(change.object.name);
         const auto is_old = known != this->current.end() &&
                             known->second.revision > change.object.revision;
@@ -164,14 +177,72 @@
         } else {
             this->current[change.object.name] = change.object;
         }
-        changes.push_back(std::move(change));
+        changes.push_back(change);
+        this->history.push_back(change);
     }
-    this->current_revision =
-        std::max(this->current_revision, seen.value().revision);
+    while (this->history.size() > longest_history) {
+        this->history_start = this->history.front().object.revision;
+        this->history.pop_front();
+    }
+    this->current_revision = std::max(this->current_revision, seen.revision);
     if (!changes.empty()) {
         this->called.on_changes(changes);
     }
-    this->next.start(changes.empty() ? core::milliseconds(0) : this->pause);
+    return !changes.empty();
+}
+
+auto store_mirror::forget_history() -> void
+{
+    this->history.clear();
+    this->history_start = this->current_revision;
+}
+
+auto store_mirror::changes_since(std::int64_t revision) const
+    -> std::optional<std::vector<adapter::object_change>>
+{
+    if (revision < this->history_start || !this->listed) {
+        return std::nullopt;
+    }
+    auto changes = std::vector<adapter::object_change>();
+    for (const auto& change : this->history) {
+        if (change.object.revision > revision) {
+            changes.push_back(change);
+        }
+    }
+    return changes;
+}
+
+auto store_mirror::adopt_changes(const adapter::object_changes& seen) -> void
+{
+    if (seen.revision > this->current_revision && this->listed) {
+        this->apply(seen);
+    }
+}
+
+auto store_mirror::set_following(bool wanted) -> void
+{
+    if (std::exchange(this->follows, wanted) == wanted) {
+        return;
+    }
+    this->log.write(severity::notice, "store_following",
+                    {{"kind", std::to_string(int(this->object_kind))},
+                     {"follows", wanted ? "yes" : "no"},
+                     {"revision", std::to_string(this->current_revision)}});
+    if (wanted) {
+        this->must_probe = this->listed;
+        this->read();
+        return;
+    }
+    this->next.stop();
+    this->limit.stop();
+    if (const auto open = std::exchange(this->active, nullptr)) {
+        open->cancel();
+    }
+}
+
+auto store_mirror::is_following() const -> bool
+{
+    return this->follows;
 }
 
 auto store_mirror::fail(int status, std::string_view reason) -> void
@@ -228,6 +299,7 @@
     }
     this->current_revision = newer;
     this->listed = true;
+    this->forget_history();
     this->called.on_list();
     return true;
 }
--- a/src/services/gateway/store_mirror.h
+++ b/src/services/gateway/store_mirror.h
@@ -5,8 +5,10 @@
 #include "platform/store_calls.h"
 #include "services/gateway/event_log.h"
 
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,17 @@
 
     auto start() -> void;
 
+    /// While false, the store is not asked; others tell what changes.
+    auto set_following(bool follows) -> void;
+
+    /// \return What has changed since \a revision, nothing if that is not
+    ///         known any more.
+    [[nodiscard]] auto changes_since(std::int64_t revision) const
+        -> std::optional<std::vector<adapter::object_change>>;
+
+    /// Takes changes that another node has seen, if they are newer.
+    auto adopt_changes(const adapter::object_changes& seen) -> void;
+
     /// Takes objects that another node has read, if they are newer.
     /// \return Whether they were.
     auto adopt(std::int64_t revision,
@@ -58,6 +71,7 @@
 
     /// \return Whether the store answers this kind's calls.
     [[nodiscard]] auto is_connected() const -> bool;
+    [[nodiscard]] auto is_following() const -> bool;
 
     /// \return When the store last failed to answer, the epoch if never.
     [[nodiscard]] auto last_failure() const -> core::time_point;
@@ -76,6 +90,8 @@
     auto fail(int status, std::string_view reason) -> void;
     auto succeed() -> void;
     auto count_unreadable(std::size_t entries) -> void;
+    auto apply(const adapter::object_changes& seen) -> bool;
+    auto forget_history() -> void;
 
     event::loop& owner;
     http1::client_pool& pool;
@@ -87,6 +103,10 @@
     std::map<std::string, adapter::stored_object> current;
     std::map<std::string, adapter::stored_object> incoming;
     std::int64_t current_revision = 0;
+    /// Changes since history_start, oldest first.
+    std::deque<adapter::object_change> history;
+    std::int64_t history_start = 0;
+    bool follows = true;
     bool listed = false;
     bool must_list = true;
     /// The next watch returns at once: it shows whether the store answers.
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -84,6 +84,19 @@
     EXPECT_TRUE(choose_owners({}).empty());
 }
 
+TEST(owner_choice, a_large_fleet_has_a_few_watchers)
+{
+    auto owners = std::vector<core::node_id>();
+    for (auto number = 10; number < 40; ++number) {
+        owners.emplace_back("n" + std::to_string(number));
+    }
+    EXPECT_TRUE(choose_watchers(owners, 12).empty());
+    const auto watchers = choose_watchers(owners, 84);
+    EXPECT_EQ(watchers.size(), 8U);
+    std::reverse(owners.begin(), owners.end());
+    EXPECT_EQ(choose_watchers(owners, 84), watchers);
+}
+
 TEST(directory_choice, names_the_callers_zone_first)
 {
     const auto chosen =
