--- /dev/null
+++ b/src/libs/dispatch/stage_limits.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <cstdint>
+
+namespace almondtiller::dispatch {
+
+/// A refused caller comes back after that time at the earliest.
+inline constexpr auto shortest_retry = core::milliseconds(300);
+/// Work that moves more bytes should be done in its own zone.
+inline constexpr auto large_transfer_bytes = std::uint64_t(256) << 10U;
+/// Work waits for its own zone while it would end there within that share of
+/// the time that it has; a byte saved is worth less than an answer on time.
+inline constexpr auto home_wait_share = 0.4;
+/// An upstream whose calls take that much longer than nominal is used only
+/// under pressure.
+inline constexpr auto slow_ratio = 2.0;
+/// Weight of the newest call in an upstream's measured slowness.
+inline constexpr auto slowness_weight = 0.3;
+/// A call is overdue after this multiple of its expected time plus a slack
+/// for the fetching of inputs; its pieces then go elsewhere as well.
+inline constexpr auto overdue_factor = 2.0;
+inline constexpr auto overdue_slack = core::milliseconds(250);
+/// Pause of an upstream that was full.
+inline constexpr auto full_pause = core::milliseconds(40);
+/// Results of unknown origin, as of a former owner of the service, are
+/// believed to take room for that long before room is tried again.
+inline constexpr auto unknown_room_time = core::milliseconds(400);
+
+inline auto as_duration(std::chrono::duration<double, std::milli> time)
+    -> core::duration
+{
+    return std::chrono::duration_cast<core::duration>(time);
+}
+
+} // namespace almondtiller::dispatch
--- a/src/services/gateway/dispatch_client.cpp
+++ b/src/services/gateway/dispatch_client.cpp
@@ -1,6 +1,7 @@
 #include "services/gateway/dispatch_client.h"
 
 #include "routing/rendezvous.h"
+#include "services/gateway/peer_topics.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,10 +10,6 @@
 
 namespace {
 
-constexpr auto stage_topic = "stage";
-constexpr auto place_topic = "place";
-constexpr auto report_topic = "report";
-constexpr auto free_topic = "free";
 /// Reports wait that long for others to the same node.
 constexpr auto report_delay = core::milliseconds(4);
 constexpr auto report_limit = core::milliseconds(2000);
@@ -312,67 +309,4 @@
                     });
 }
 
-auto serve_peers(peer_mesh& mesh, dispatcher& local, event::loop& owner) -> void
-{
-    using action = std::function<void()>;
-    mesh.handle(stage_topic,
-                [&local, &owner](const core::node_id&, const std::string& body,
-                                 const peer_mesh::reply& answer) {
-                    const auto message = decode_stage(body, owner.now());
-                    if (!message) {
-                        answer(message.error());
-                        return action();
-                    }
-                    const auto& service = message.value().service;
-                    const auto ticket = local.submit_stage(
-                        service, message.value().work,
-                        [answer](const dispatch::stage_outcome& outcome) {
-                            answer(encode(outcome));
-                        });
-                    return action([&local, service, ticket]() {
-                        local.cancel_stage(service, ticket);
-                    });
-                });
-    mesh.handle(place_topic, [&local, &owner](const core::node_id& sender,
-                                              const std::string& body,
-                                              const peer_mesh::reply& answer) {
-        const auto message = decode_place(body, owner.now());
-        if (!message) {
-            answer(message.error());
-            return action();
-        }
-        const auto service = message.value().service;
-        const auto request = message.value().request.request;
-        local.submit_placement(
-            message.value(), sender,
-            [answer](const dispatch::placement_outcome& outcome) {
-                answer(encode(outcome));
-            });
-        return action([&local, service, request]() {
-            local.cancel_placement(service, request);
-        });
-    });
-    mesh.handle(report_topic,
-                [&local](const core::node_id&, const std::string& body,
-                         const peer_mesh::reply& answer) {
-                    if (const auto messages = decode_reports(body)) {
-                        for (const auto& message : messages.value()) {
-                            local.report(message);
-                        }
-                    }
-                    answer(std::string());
-                    return action();
-                });
-    mesh.handle(free_topic,
-                [&local](const core::node_id&, const std::string& body,
-                         const peer_mesh::reply& answer) {
-                    if (const auto message = decode_free(body)) {
-                        local.free_results(message.value().service,
-                                           message.value().handles);
-                    }
-                    answer(std::string());
-                    return action();
-                });
-}
-
 } // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/node_front.cpp
@@ -0,0 +1,196 @@
+#include "services/gateway/node_state.h"
+
+#include "platform/caller_messages.h"
+#include "services/gateway/directory_choice.h"
+#include "services/gateway/owner_choice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+auto node::state::listen_all() -> std::error_code
+{
+    using handler = void (state::*)(const http1::request_message&,
+                                    const std::shared_ptr<http1::exchange>&);
+    const auto open = [this](const core::endpoint& address, handler handles) {
+        return this->listen(address,
+                            [this, handles](auto message, auto exchange) {
+                                (this->*handles)(message, exchange);
+                            });
+    };
+    if (const auto error =
+            open(this->settings.front, &state::on_front_request)) {
+        return error;
+    }
+    if (const auto error =
+            open(this->settings.readiness, &state::on_readiness_check)) {
+        return error;
+    }
+    if (this->settings.directory != this->settings.readiness &&
+        this->settings.directory != this->settings.front) {
+        if (const auto error =
+                open(this->settings.directory, &state::on_directory_request)) {
+            return error;
+        }
+    }
+    if (const auto error =
+            open(this->settings.metrics, &state::on_metrics_request)) {
+        this->log.write(severity::notice, "metrics_not_served",
+                        {{"error", error.message()}});
+    }
+    return {};
+}
+
+auto node::state::listen(const core::endpoint& address,
+                         std::function<void(http1::request_message,
+                                            std::shared_ptr<http1::exchange>)>
+                             on_request) -> std::error_code
+{
+    auto options = std::make_shared<http1::server_options>();
+    options->on_request = std::move(on_request);
+    const auto limits = [this]() {
+        return this->known.config() ? this->known.config()->limits
+                                    : serving::caller_limits();
+    };
+    options->limits = [limits]() {
+        return limits().parser;
+    };
+    options->header_timeout = [limits]() {
+        return limits().header_timeout;
+    };
+    options->idle_timeout = [limits]() {
+        return limits().idle_timeout + std::chrono::seconds(1);
+    };
+    options->is_draining = [this]() {
+        return this->is_leaving;
+    };
+    options->on_closed = [this](const auto& connection) {
+        this->connections.erase(connection);
+    };
+    options->on_bad_request = [this](std::error_code error) {
+        this->metrics.count_outcome("malformed", error.message());
+        this->log.write(severity::failure, "malformed_request",
+                        {{"error", error.message()}});
+    };
+    const auto kept =
+        std::shared_ptr<const http1::server_options>(std::move(options));
+    auto listener = std::make_unique<event::tcp_listener>(
+        this->owner, [this, kept](auto stream) {
+            auto connection = std::make_shared<http1::server_connection>(
+                this->owner, std::move(stream), kept);
+            this->connections.insert(connection);
+            connection->start();
+        });
+    const auto error = listener->listen(address);
+    this->listeners.push_back(std::move(listener));
+    return error;
+}
+
+auto node::state::on_readiness_check(
+    const http1::request_message& message,
+    const std::shared_ptr<http1::exchange>& exchange) -> void
+{
+    if (adapter::decode_directory_question(message)) {
+        this->on_directory_request(message, exchange);
+        return;
+    }
+    exchange->respond(this->is_ready ? ok : unavailable, {}, "");
+}
+
+auto node::state::on_metrics_request(
+    const http1::request_message& message,
+    const std::shared_ptr<http1::exchange>& exchange) -> void
+{
+    static_cast<void>(message);
+    exchange->respond(ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                      this->metrics.expose());
+}
+
+auto node::state::on_directory_request(
+    const http1::request_message& message,
+    const std::shared_ptr<http1::exchange>& exchange) -> void
+{
+    const auto question = adapter::decode_directory_question(message);
+    if (!question) {
+        exchange->respond(not_found, {}, "");
+        return;
+    }
+    auto ready = std::vector<front_node>();
+    if (this->is_ready) {
+        ready.push_back({this->settings.zone, this->settings.front});
+    }
+    for (const auto& peer : this->mesh.peers()) {
+        const auto status = this->peer_status.find(peer.entry.node);
+        if (peer.is_alive && status != this->peer_status.end() &&
+            status->second.is_ready) {
+            ready.push_back({status->second.zone, status->second.front});
+        }
+    }
+    if (ready.empty()) {
+        exchange->respond(unavailable, {}, "");
+        return;
+    }
+    exchange->respond(ok, {{"Content-Type", "application/json"}},
+                      adapter::encode_directory_answer(
+                          choose_fronts(std::move(ready), question->zone),
+                          directory_lifetime));
+}
+
+auto node::state::reject(const std::shared_ptr<http1::exchange>& exchange,
+                         const core::request_id& request, int status,
+                         std::string_view reason,
+                         std::optional<core::milliseconds> retry_after) -> void
+{
+    exchange->respond(status, adapter::own_answer_headers(request, retry_after),
+                      "");
+    this->metrics.count_outcome("rejected", reason);
+    const auto& config = this->known.config();
+    this->log.write(severity::failure, "rejected",
+                    {{"request", request.str()},
+                     {"reason", std::string(reason)},
+                     {"status", std::to_string(status)},
+                     {"config", config ? std::to_string(config->version)
+                                       : std::string("none")}});
+}
+
+auto node::state::on_front_request(
+    const http1::request_message& message,
+    const std::shared_ptr<http1::exchange>& exchange) -> void
+{
+    auto decoded = adapter::decode_request(message);
+    if (!decoded) {
+        this->reject(exchange, {}, bad_request, "no_request_id", std::nullopt);
+        return;
+    }
+    auto& request = decoded.value();
+    const auto leaves_soon =
+        this->is_leaving &&
+        this->owner.now() - this->leave_started > accept_while_leaving;
+    if (!this->follower.is_complete() || leaves_soon) {
+        this->reject(exchange, request.id, unavailable,
+                     leaves_soon ? "leaving" : "not_ready", not_ready_retry);
+        return;
+    }
+    const auto config = this->known.config();
+    const auto* route = config->find_route(request.host, request.target);
+    if (route == nullptr) {
+        this->reject(exchange, request.id, not_found, "no_route", std::nullopt);
+        return;
+    }
+    const serving::workspace* workspace = nullptr;
+    if (config->has_workspaces && route->needs_key) {
+        workspace = config->find_workspace(request.api_key);
+        if (workspace == nullptr) {
+            this->reject(exchange, request.id, unauthorized, "unknown_key",
+                         std::nullopt);
+            return;
+        }
+    }
+    auto flow = std::make_shared<request_flow>(
+        this->shared, std::move(request), exchange, config, *route, workspace);
+    this->flows.insert(flow);
+    flow->start();
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/node_state.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "event/tcp_listener.h"
+#include "services/gateway/gateway.h"
+#include "services/gateway/request_flow.h"
+#include "services/gateway/store_follower.h"
+
+#include <set>
+
+namespace almondtiller::gateway {
+
+/// How long callers keep an answer of the directory; some keep it three
+/// times as long.
+inline constexpr auto directory_lifetime = core::milliseconds(2000);
+/// A leaving node takes requests that long, as callers still know it.
+inline constexpr auto accept_while_leaving = core::milliseconds(3500);
+/// Requests end that long before the process is killed.
+inline constexpr auto stop_margin = core::milliseconds(700);
+/// Idle connections of callers close that long after leaving began.
+inline constexpr auto idle_while_leaving = core::milliseconds(2500);
+/// Two nodes may own a service for a while, each with its own budget; and a
+/// window may hold half of the first sends that a repeat was allowed for.
+inline constexpr auto own_share_of_budget = 0.5;
+inline constexpr auto sweep_interval = core::milliseconds(2000);
+inline constexpr auto not_ready_retry = core::milliseconds(300);
+inline constexpr auto leave_check = core::milliseconds(50);
+
+inline constexpr auto ok = 200;
+inline constexpr auto bad_request = 400;
+inline constexpr auto unauthorized = 401;
+inline constexpr auto not_found = 404;
+inline constexpr auto unavailable = 503;
+
+struct node::state
+{
+    event::loop& owner;
+    serving::node_settings settings;
+    event_log& log;
+    flow_metrics metrics;
+    std::function<void()> on_stopped;
+    core::random_source random{core::system_seed()};
+    dispatch::serving_state known;
+    http1::client_pool pool;
+    peer_mesh mesh;
+    dispatcher local;
+    dispatch_client client;
+    store_follower follower;
+    flow_context shared;
+    std::vector<std::unique_ptr<event::tcp_listener>> listeners;
+    std::set<std::shared_ptr<http1::server_connection>> connections;
+    std::set<std::weak_ptr<request_flow>, std::owner_less<>> flows;
+    std::map<core::node_id, node_status> peer_status;
+    event::timer sweeper;
+    event::timer leaver;
+    bool is_ready = false;
+    bool is_leaving = false;
+    core::time_point leave_started;
+
+    state(event::loop& loop, serving::node_settings given, event_log& lines,
+          core::metrics_registry& registry, std::function<void()> stopped)
+        : owner(loop),
+          settings(std::move(given)),
+          log(lines),
+          metrics(registry),
+          on_stopped(std::move(stopped)),
+          pool(loop),
+          mesh(loop, this->own_entry(), lines),
+          local(loop, this->known, this->pool, lines,
+                {this->settings.retry_ratio * own_share_of_budget,
+                 this->settings.retry_extra * own_share_of_budget,
+                 this->settings.retry_window, this->settings.cold_factor,
+                 this->settings.cold_extra}),
+          client(loop, this->settings.node, this->mesh, this->local, lines),
+          follower(loop, this->pool, this->settings.store, this->known,
+                   this->mesh, lines, [this]() { this->on_known_changed(); }),
+          shared{loop,  this->known,   this->client, this->pool,
+                 lines, this->metrics, this->random},
+          sweeper(loop, [this]() { this->sweep(); }),
+          leaver(loop, [this]() { this->go_on_leaving(); })
+    {}
+
+    [[nodiscard]] auto own_entry() -> adapter::node_entry;
+    [[nodiscard]] auto own_status() const -> node_status;
+    [[nodiscard]] auto own_capacity() const -> node_capacity;
+    auto on_known_changed() -> void;
+    auto update_ready() -> void;
+    auto update_candidates() -> void;
+    auto on_peer_status(const core::node_id& peer, const std::string& text)
+        -> void;
+    auto start() -> std::error_code;
+    auto listen_all() -> std::error_code;
+    auto listen(const core::endpoint& address,
+                std::function<void(http1::request_message,
+                                   std::shared_ptr<http1::exchange>)>
+                    on_request) -> std::error_code;
+    auto on_readiness_check(const http1::request_message& message,
+                            const std::shared_ptr<http1::exchange>& exchange)
+        -> void;
+    auto on_metrics_request(const http1::request_message& message,
+                            const std::shared_ptr<http1::exchange>& exchange)
+        -> void;
+    auto on_directory_request(const http1::request_message& message,
+                              const std::shared_ptr<http1::exchange>& exchange)
+        -> void;
+    auto reject(const std::shared_ptr<http1::exchange>& exchange,
+                const core::request_id& request, int status,
+                std::string_view reason,
+                std::optional<core::milliseconds> retry_after) -> void;
+    auto on_front_request(const http1::request_message& message,
+                          const std::shared_ptr<http1::exchange>& exchange)
+        -> void;
+    auto sweep() -> void;
+    auto leave() -> void;
+    auto go_on_leaving() -> void;
+    auto finish_leaving() -> void;
+};
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/peer_inbound.cpp
@@ -0,0 +1,126 @@
+#include "services/gateway/peer_mesh_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+auto peer_mesh::state::accept(std::shared_ptr<event::tcp_stream> stream) -> void
+{
+    auto connection = std::make_shared<peer_inbound>();
+    connection->stream = std::move(stream);
+    const auto weak = std::weak_ptr<peer_inbound>(connection);
+    auto hooks = h2::h2_hooks();
+    hooks.on_request = [this, weak](std::int32_t id, h2::h2_request request) {
+        if (const auto open = weak.lock()) {
+            this->on_request(open, id, std::move(request));
+        }
+    };
+    hooks.on_cancelled = [weak](std::int32_t id) {
+        const auto open = weak.lock();
+        if (!open) {
+            return;
+        }
+        const auto found = open->cancels.find(id);
+        if (found != open->cancels.end()) {
+            const auto action = std::move(found->second);
+            open->cancels.erase(found);
+            action();
+        }
+    };
+    connection->session =
+        std::make_unique<h2::h2_session>(h2::h2_role::server, std::move(hooks));
+    this->inbound.insert(connection);
+    connection->stream->start(
+        [this, weak](std::string_view bytes) {
+            const auto open = weak.lock();
+            if (!open || !open->is_open) {
+                return;
+            }
+            if (open->session->receive(bytes)) {
+                this->end_inbound(open);
+                return;
+            }
+            this->flush(open);
+        },
+        [this, weak](std::error_code) {
+            if (const auto open = weak.lock()) {
+                this->end_inbound(open);
+            }
+        });
+}
+
+auto peer_mesh::state::end_inbound(
+    const std::shared_ptr<peer_inbound>& connection) -> void
+{
+    if (!std::exchange(connection->is_open, false)) {
+        return;
+    }
+    connection->stream->close();
+    const auto cancels = std::exchange(connection->cancels, {});
+    for (const auto& [stream, action] : cancels) {
+        action();
+    }
+    this->inbound.erase(connection);
+    // The session may be below on the stack.
+    this->owner.post([connection]() {});
+    if (this->sender_lost && !connection->sender.empty()) {
+        this->sender_lost(connection->sender);
+    }
+}
+
+auto peer_mesh::state::on_request(
+    const std::shared_ptr<peer_inbound>& connection, std::int32_t id,
+    h2::h2_request request) -> void
+{
+    connection->sender = core::node_id(request.sender);
+    const auto weak = std::weak_ptr<peer_inbound>(connection);
+    const auto answer = [this, weak,
+                         id](const core::result<std::string>& value) {
+        const auto open = weak.lock();
+        if (!open || !open->is_open) {
+            return;
+        }
+        open->cancels.erase(id);
+        open->session->submit_answer(id, value);
+        this->flush(open);
+    };
+    if (request.topic == beat_topic) {
+        if (this->status_heard) {
+            this->status_heard(connection->sender, request.body);
+        }
+        answer(this->status ? this->status() : std::string());
+        return;
+    }
+    const auto found = this->handlers.find(request.topic);
+    if (found == this->handlers.end()) {
+        answer(make_error_code(fleet_errc::unknown_topic));
+        return;
+    }
+    auto is_answered = std::make_shared<bool>(false);
+    auto cancel = found->second(
+        connection->sender, std::move(request.body),
+        [answer, is_answered](const core::result<std::string>& value) {
+            *is_answered = true;
+            answer(value);
+        });
+    if (cancel && !*is_answered) {
+        connection->cancels[id] = std::move(cancel);
+    }
+}
+
+auto peer_mesh::state::flush(const std::shared_ptr<peer_inbound>& connection)
+    -> void
+{
+    if (std::exchange(connection->is_flushing, true)) {
+        return;
+    }
+    this->owner.post([connection]() {
+        connection->is_flushing = false;
+        if (connection->is_open) {
+            connection->stream->write(connection->session->take_output());
+        }
+    });
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/peer_links.cpp
@@ -0,0 +1,257 @@
+#include "services/gateway/peer_mesh_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+auto peer_mesh::state::interval() const -> core::milliseconds
+{
+    return std::max(beat_interval,
+                    beat_interval_per_peer * std::int64_t(this->links.size()));
+}
+
+auto peer_mesh::state::set_alive(peer_link& link, bool alive,
+                                 std::string_view reason) -> void
+{
+    if (link.view.is_alive == alive) {
+        return;
+    }
+    link.view.is_alive = alive;
+    this->log.write(severity::notice, alive ? "peer_alive" : "peer_lost",
+                    {{"peer", link.view.entry.node.str()},
+                     {"reason", std::string(reason)}});
+    if (this->changed) {
+        this->owner.post(
+            [self = this->shared_from_this()]() { self->changed(); });
+    }
+}
+
+auto peer_mesh::state::drop_link(peer_link& link, std::string_view reason)
+    -> void
+{
+    if (link.stream) {
+        std::exchange(link.stream, nullptr)->close();
+    }
+    if (link.session) {
+        // May be called from within the session.
+        this->owner.post([old = std::shared_ptr<h2::h2_session>(
+                              std::move(link.session))]() {});
+    }
+    link.connect_not_before = this->owner.now() + this->interval();
+    link.is_beating = false;
+    this->set_alive(link, false, reason);
+    for (const auto& [stream, call] : std::exchange(link.calls, {})) {
+        this->finish(call, make_error_code(fleet_errc::peer_unreachable));
+    }
+}
+
+auto peer_mesh::state::finish(std::uint64_t id,
+                              core::result<std::string> answer) -> void
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) {
+        return;
+    }
+    auto call = std::move(found->second);
+    this->calls.erase(found);
+    const auto link = this->links.find(call.node);
+    if (link != this->links.end()) {
+        link->second.calls.erase(call.stream);
+    }
+    this->owner.post([done = std::move(call.answer),
+                      value = std::move(answer)]() { done(value); });
+}
+
+auto peer_mesh::state::flush(const core::node_id& node) -> void
+{
+    const auto found = this->links.find(node);
+    if (found == this->links.end() || found->second.is_flushing) {
+        return;
+    }
+    found->second.is_flushing = true;
+    this->owner.post([self = this->shared_from_this(), node]() {
+        const auto link = self->links.find(node);
+        if (link == self->links.end()) {
+            return;
+        }
+        link->second.is_flushing = false;
+        if (link->second.session && link->second.stream) {
+            link->second.stream->write(link->second.session->take_output());
+        }
+    });
+}
+
+auto peer_mesh::state::connect(peer_link& link) -> void
+{
+    link.is_connecting = true;
+    const auto node = link.view.entry.node;
+    const auto address = link.view.entry.peers;
+    event::tcp_stream::connect(
+        this->owner, address, connect_limit,
+        [weak = this->weak_from_this(), node, address](
+            std::shared_ptr<event::tcp_stream> stream, std::error_code error) {
+            if (const auto self = weak.lock()) {
+                self->connected(node, address, std::move(stream), error);
+            }
+        });
+}
+
+auto peer_mesh::state::connected(const core::node_id& node,
+                                 const core::endpoint& address,
+                                 std::shared_ptr<event::tcp_stream> stream,
+                                 std::error_code error) -> void
+{
+    const auto found = this->links.find(node);
+    if (found == this->links.end()) {
+        return;
+    }
+    auto& link = found->second;
+    link.is_connecting = false;
+    if (error || link.view.entry.peers != address) {
+        link.connect_not_before = this->owner.now() + this->interval();
+        return;
+    }
+    link.stream = std::move(stream);
+    auto hooks = h2::h2_hooks();
+    hooks.on_answer = [this, node](std::int32_t id,
+                                   core::result<std::string> answer) {
+        const auto current = this->links.find(node);
+        if (current == this->links.end()) {
+            return;
+        }
+        const auto call = current->second.calls.find(id);
+        if (call != current->second.calls.end()) {
+            this->finish(call->second, std::move(answer));
+        }
+    };
+    link.session =
+        std::make_unique<h2::h2_session>(h2::h2_role::client, std::move(hooks));
+    const auto weak = this->weak_from_this();
+    link.stream->start(
+        [weak, node](std::string_view bytes) {
+            if (const auto self = weak.lock()) {
+                self->on_link_bytes(node, bytes);
+            }
+        },
+        [weak, node](std::error_code) {
+            const auto self = weak.lock();
+            if (self && self->links.contains(node)) {
+                self->drop_link(self->links[node], "connection_ended");
+            }
+        });
+    link.heard = this->owner.now();
+    this->flush(node);
+    this->beat(link);
+}
+
+auto peer_mesh::state::on_link_bytes(const core::node_id& node,
+                                     std::string_view bytes) -> void
+{
+    const auto found = this->links.find(node);
+    if (found == this->links.end() || !found->second.session) {
+        return;
+    }
+    if (found->second.session->receive(bytes)) {
+        this->drop_link(found->second, "malformed_message");
+        return;
+    }
+    found->second.heard = this->owner.now();
+    this->flush(node);
+}
+
+auto peer_mesh::state::beat(peer_link& link) -> void
+{
+    if (link.is_beating || !link.session) {
+        return;
+    }
+    link.is_beating = true;
+    const auto node = link.view.entry.node;
+    this->send(link, beat_topic, this->status ? this->status() : "",
+               this->interval() * alive_beats,
+               [this, node](core::result<std::string> answer) {
+                   const auto found = this->links.find(node);
+                   if (found == this->links.end()) {
+                       return;
+                   }
+                   auto& heard = found->second;
+                   heard.is_beating = false;
+                   if (!answer) {
+                       return;
+                   }
+                   heard.heard = this->owner.now();
+                   const auto is_news = heard.view.status != answer.value();
+                   heard.view.status = answer.value();
+                   this->set_alive(heard, true, "heartbeat");
+                   if (this->status_heard) {
+                       this->status_heard(node, heard.view.status);
+                   }
+                   if (is_news && this->changed) {
+                       this->changed();
+                   }
+               });
+}
+
+auto peer_mesh::state::send(peer_link& link, const std::string& topic,
+                            std::string body, core::milliseconds limit,
+                            reply answer) -> std::uint64_t
+{
+    const auto id = ++this->last_call;
+    auto& call = this->calls[id];
+    call.node = link.view.entry.node;
+    call.answer = std::move(answer);
+    const auto fail = [this, id](fleet_errc code) {
+        this->finish(id, make_error_code(code));
+    };
+    if (!link.session) {
+        fail(fleet_errc::peer_unreachable);
+        return id;
+    }
+    const auto stream = link.session->submit_request(
+        {topic, this->self.node.str(), std::move(body)});
+    if (!stream) {
+        fail(fleet_errc::too_many_calls);
+        return id;
+    }
+    call.stream = stream.value();
+    link.calls[call.stream] = id;
+    call.limit = std::make_unique<event::timer>(this->owner, [this, id]() {
+        this->give_up(id, fleet_errc::peer_timeout);
+    });
+    call.limit->start(limit);
+    this->flush(call.node);
+    return id;
+}
+
+auto peer_mesh::state::give_up(std::uint64_t id, fleet_errc code) -> void
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const auto node = found->second.node;
+    const auto link = this->links.find(node);
+    if (link != this->links.end() && link->second.session) {
+        link->second.session->cancel(found->second.stream);
+        this->flush(node);
+    }
+    this->finish(id, make_error_code(code));
+}
+
+auto peer_mesh::state::tick() -> void
+{
+    const auto now = this->owner.now();
+    for (auto& [node, link] : this->links) {
+        if (link.stream && now - link.heard > this->interval() * alive_beats) {
+            this->drop_link(link, "silent");
+        }
+        if (!link.stream && !link.is_connecting &&
+            link.connect_not_before <= now) {
+            this->connect(link);
+        }
+        this->beat(link);
+    }
+    this->ticker->start(this->interval());
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/peer_mesh_state.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "event/loop.h"
+#include "event/tcp_listener.h"
+#include "event/timer.h"
+#include "fleet/fleet_errc.h"
+#include "h2/h2_session.h"
+#include "services/gateway/peer_mesh.h"
+
+#include <set>
+
+namespace almondtiller::gateway {
+
+using fleet::fleet_errc;
+
+/// Time between heartbeats to a peer in a small fleet; a node that misses
+/// them for alive_beats intervals is taken as gone.
+inline constexpr auto beat_interval = core::milliseconds(250);
+inline constexpr auto alive_beats = 4;
+/// Each peer adds that much to the interval, so that the heartbeats of a
+/// large fleet do not use up small machines.
+inline constexpr auto beat_interval_per_peer = core::milliseconds(10);
+inline constexpr auto connect_limit = core::milliseconds(400);
+inline constexpr auto beat_topic = "beat";
+
+/// An outgoing connection to one peer.
+struct peer_link
+{
+    peer_view view;
+    std::shared_ptr<event::tcp_stream> stream;
+    std::unique_ptr<h2::h2_session> session;
+    bool is_connecting = false;
+    bool is_flushing = false;
+    bool is_beating = false;
+    core::time_point heard;
+    core::time_point connect_not_before;
+    /// Calls under way, by stream.
+    std::map<std::int32_t, std::uint64_t> calls;
+};
+
+/// A call, whichever link carries it.
+struct peer_call
+{
+    core::node_id node;
+    std::int32_t stream = 0;
+    peer_mesh::reply answer;
+    std::unique_ptr<event::timer> limit;
+};
+
+/// An incoming connection.
+struct peer_inbound
+{
+    std::shared_ptr<event::tcp_stream> stream;
+    std::unique_ptr<h2::h2_session> session;
+    core::node_id sender;
+    std::map<std::int32_t, std::function<void()>> cancels;
+    bool is_flushing = false;
+    bool is_open = true;
+};
+
+struct peer_mesh::state : std::enable_shared_from_this<state>
+{
+    event::loop& owner;
+    adapter::node_entry self;
+    event_log& log;
+    std::unique_ptr<event::tcp_listener> listener;
+    std::map<std::string, handler> handlers;
+    std::map<core::node_id, peer_link> links;
+    std::map<std::uint64_t, peer_call> calls;
+    std::set<std::shared_ptr<peer_inbound>> inbound;
+    std::function<std::string()> status;
+    std::function<void()> changed;
+    std::function<void(const core::node_id&)> sender_lost;
+    std::function<void(const core::node_id&, const std::string&)> status_heard;
+    std::uint64_t last_call = 0;
+    std::unique_ptr<event::timer> ticker;
+
+    state(event::loop& loop, adapter::node_entry entry, event_log& lines)
+        : owner(loop), self(std::move(entry)), log(lines)
+    {}
+
+    [[nodiscard]] auto interval() const -> core::milliseconds;
+    auto set_alive(peer_link& link, bool alive, std::string_view reason)
+        -> void;
+    auto drop_link(peer_link& link, std::string_view reason) -> void;
+    auto finish(std::uint64_t id, core::result<std::string> answer) -> void;
+    auto flush(const core::node_id& node) -> void;
+    auto connect(peer_link& link) -> void;
+    auto connected(const core::node_id& node, const core::endpoint& address,
+                   std::shared_ptr<event::tcp_stream> stream,
+                   std::error_code error) -> void;
+    auto on_link_bytes(const core::node_id& node, std::string_view bytes)
+        -> void;
+    auto beat(peer_link& link) -> void;
+    auto send(peer_link& link, const std::string& topic, std::string body,
+              core::milliseconds limit, reply answer) -> std::uint64_t;
+    auto give_up(std::uint64_t id, fleet_errc code) -> void;
+    auto tick() -> void;
+    auto accept(std::shared_ptr<event::tcp_stream> stream) -> void;
+    auto flush(const std::shared_ptr<peer_inbound>& connection) -> void;
+    auto end_inbound(const std::shared_ptr<peer_inbound>& connection) -> void;
+    auto on_request(const std::shared_ptr<peer_inbound>& connection,
+                    std::int32_t id, h2::h2_request request) -> void;
+};
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/request_attempt.cpp
@@ -0,0 +1,247 @@
+#include "services/gateway/request_flow.h"
+
+#include "platform/upstream_messages.h"
+#include "services/gateway/flow_limits.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+auto request_flow::send(const serving::upstream& granted) -> void
+{
+    this->upstream = granted;
+    const auto now = this->shared.owner.now();
+    if (!this->shared.known.is_usable(granted.id)) {
+        this->excluded.push_back(granted.id);
+        this->end_attempt(dispatch::work_end::given_up);
+        this->place(this->attempts > 0);
+        return;
+    }
+    auto with = serving::upstream_send();
+    with.expected = granted.id;
+    with.time_left = to_ms(this->deadline - now);
+    with.workspace = this->workspace;
+    with.urgency = std::min(first_urgency + this->priority, last_urgency);
+    with.last_event = this->events.last_id().empty() ? this->request.last_event
+                                                     : this->events.last_id();
+    if (this->stages) {
+        with.inputs = this->stages->inputs();
+    }
+    this->head.reset();
+    this->body.clear();
+    this->events.restart();
+    ++this->attempts;
+    auto options = http1::call_options();
+    options.connect_limit = connect_limit;
+    options.longest_idle = this->is_repeatable() ? safe_idle : unsafe_idle;
+    options.has_no_body = this->request.method == "HEAD";
+    const auto self = this->shared_from_this();
+    auto hooks = http1::pool_hooks();
+    hooks.on_head = [self](http1::response_head answer) {
+        self->on_head(std::move(answer));
+    };
+    hooks.on_body = [self](std::string_view bytes) {
+        self->on_body(bytes);
+    };
+    hooks.on_done = [self](std::error_code error, bool sent) {
+        self->on_done(error, sent);
+    };
+    if (this->attempts < this->route.max_attempts && this->is_repeatable()) {
+        const auto is_plain =
+            this->route.kind == serving::route_kind::idempotent;
+        const auto patience = core::milliseconds(std::int64_t(
+            double(this->route.target_latency.count()) * plain_silence_factor));
+        this->silence.start(is_plain ? patience : patience + stream_silence);
+    }
+    this->call =
+        this->shared.pool.call({granted.id.str(), granted.address},
+                               adapter::encode_request(this->request, with),
+                               options, std::move(hooks));
+}
+
+auto request_flow::on_head(http1::response_head answer) -> void
+{
+    this->verdict = adapter::decode_verdict(answer);
+    const auto is_other = !this->verdict.request.empty() &&
+                          this->verdict.request != this->request.id;
+    const auto is_unsealed =
+        is_success(this->verdict.status) && !this->verdict.is_sealed;
+    if (is_other || is_unsealed) {
+        // An answer to another request, or of no upstream.
+        std::exchange(this->call, nullptr)->cancel();
+        this->on_broken(http1::http1_errc::unexpected_bytes, true);
+        return;
+    }
+    this->head = std::move(answer);
+    this->is_stream = is_success(this->verdict.status) &&
+                      this->route.kind == serving::route_kind::streaming;
+    if (this->is_stream) {
+        this->shared.dispatch.report_started(this->service, this->request.id);
+    }
+}
+
+auto request_flow::on_body(std::string_view bytes) -> void
+{
+    if (this->is_stream) {
+        this->pass_events(bytes);
+    } else {
+        this->body += bytes;
+    }
+}
+
+auto request_flow::pass_events(std::string_view bytes) -> void
+{
+    const auto whole = this->events.feed(bytes);
+    if (whole.empty()) {
+        return;
+    }
+    if (!this->caller->is_started()) {
+        this->caller->start(this->verdict.status,
+                            adapter::answer_headers(*this->head), std::nullopt);
+        if (this->stages) {
+            this->release(this->stages->reset());
+        }
+    }
+    this->caller->send(whole);
+    if (this->may_repeat()) {
+        this->silence.start(stream_silence);
+    } else {
+        this->silence.stop();
+    }
+    constexpr auto most_pending = std::size_t(256) << 10U;
+    if (this->caller->pending_bytes() > most_pending && this->call) {
+        this->call->pause_reading();
+        this->caller->on_drained([self = this->shared_from_this()]() {
+            if (self->call) {
+                self->call->resume_reading();
+            }
+        });
+    }
+}
+
+auto request_flow::on_done(std::error_code error, bool sent) -> void
+{
+    this->silence.stop();
+    this->call.reset();
+    if (this->is_over) {
+        return;
+    }
+    if (error) {
+        this->on_broken(error, sent);
+    } else if (this->verdict.not_run) {
+        this->on_not_run();
+    } else {
+        this->on_answer();
+    }
+}
+
+auto request_flow::on_not_run() -> void
+{
+    --this->attempts;
+    ++this->turned_away;
+    this->shared.log.write(severity::notice, "turned_away",
+                           {{"request", this->request.id.str()},
+                            {"upstream", this->upstream->id.str()},
+                            {"status", std::to_string(this->verdict.status)},
+                            {"elapsed_ms", this->elapsed_ms()}});
+    this->excluded.push_back(this->upstream->id);
+    this->end_attempt(dispatch::work_end::turned_away);
+    if (this->verdict.status == conflict && this->stages) {
+        this->excluded.clear();
+        this->restart_stages();
+        return;
+    }
+    if (this->turned_away > most_turned_away) {
+        if (this->caller->is_started()) {
+            this->break_off("turned_away");
+        } else {
+            this->refuse("turned_away", shortest_retry);
+        }
+        return;
+    }
+    this->shared.metrics.count_repeat("turned_away");
+    this->place(true);
+}
+
+auto request_flow::on_answer() -> void
+{
+    const auto status = this->verdict.status;
+    constexpr auto first_server_error = 500;
+    if (this->upstream) {
+        if (status >= first_server_error && this->may_repeat()) {
+            this->excluded.push_back(this->upstream->id);
+            this->end_attempt(dispatch::work_end::completed);
+            this->shared.metrics.count_repeat("upstream_error");
+            this->place(true);
+            return;
+        }
+        this->end_attempt(dispatch::work_end::completed);
+    }
+    if (this->is_stream) {
+        if (!this->caller->is_started()) {
+            this->caller->start(status, adapter::answer_headers(*this->head),
+                                std::nullopt);
+        }
+        this->caller->send(this->events.rest());
+        this->caller->finish();
+    } else {
+        this->caller->respond(status, adapter::answer_headers(*this->head),
+                              this->body);
+    }
+    this->finish("answered",
+                 is_success(status) ? severity::detail : severity::failure,
+                 is_success(status) ? "success" : "upstream_error", status);
+}
+
+auto request_flow::on_broken(std::error_code error, bool sent) -> void
+{
+    this->shared.log.write(
+        severity::failure, "attempt_broken",
+        {{"request", this->request.id.str()},
+         {"upstream", this->upstream ? this->upstream->id.str() : ""},
+         {"error", error.message()},
+         {"sent", sent ? "yes" : "no"},
+         {"events", std::to_string(this->events.events())},
+         {"attempts", std::to_string(this->attempts)},
+         {"elapsed_ms", this->elapsed_ms()}});
+    this->silence.stop();
+    this->head.reset();
+    if (this->upstream) {
+        this->excluded.push_back(this->upstream->id);
+    }
+    this->end_attempt(dispatch::work_end::failed);
+    if (!sent) {
+        --this->attempts;
+        this->shared.metrics.count_repeat("not_connected");
+        // Nothing has arrived anywhere, so this is no repeat.
+        this->place(this->attempts + this->turned_away > 0);
+    } else if (this->may_repeat()) {
+        this->shared.metrics.count_repeat("broken");
+        this->place(true);
+    } else if (this->caller->is_started()) {
+        this->break_off("upstream_broke_off");
+    } else {
+        this->fail(bad_gateway, "upstream_broke_off");
+    }
+}
+
+auto request_flow::on_silent() -> void
+{
+    if (this->is_over || !this->call || !this->may_repeat()) {
+        return;
+    }
+    std::exchange(this->call, nullptr)->cancel();
+    this->on_broken(http1::http1_errc::timed_out, true);
+}
+
+auto request_flow::end_attempt(dispatch::work_end how) -> void
+{
+    if (!this->upstream) {
+        return;
+    }
+    this->upstream.reset();
+    this->shared.dispatch.report_ended(this->service, this->request.id, how);
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/store_snapshots.cpp
@@ -0,0 +1,142 @@
+#include "services/gateway/store_follower.h"
+
+#include "platform/adapter_errc.h"
+#include "services/gateway/follower_limits.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+auto store_follower::encode_since(std::size_t kind, std::int64_t since) const
+    -> std::string
+{
+    const auto& mirror = *this->mirrors[kind];
+    if (const auto changes = mirror.changes_since(since)) {
+        return changes_mark +
+               adapter::encode_changes(*changes, mirror.revision());
+    }
+    return page_mark +
+           adapter::encode_page(mirror.objects(), mirror.revision());
+}
+
+auto store_follower::on_peer_revisions(
+    const core::node_id& peer, const std::vector<std::int64_t>& revisions)
+    -> void
+{
+    const auto now = this->owner.now();
+    for (auto kind = std::size_t(0); kind < std::min(revisions.size(), kinds);
+         ++kind) {
+        auto& mirror = *this->mirrors[kind];
+        if (revisions[kind] <= mirror.revision()) {
+            this->fetched[kind] = now;
+            continue;
+        }
+        // An own watch mostly brings the change by itself.
+        const auto patience =
+            mirror.is_following() ? silent_watch : core::milliseconds(0);
+        if (!this->is_fetching[kind] && now - this->fetched[kind] >= patience) {
+            this->fetched[kind] = now;
+            this->fetch_from(peer, kind);
+        }
+    }
+}
+
+auto store_follower::fetch_from(const core::node_id& peer, std::size_t kind)
+    -> void
+{
+    this->is_fetching[kind] = true;
+    this->mesh.call(
+        peer, snapshot_topic,
+        std::to_string(kind) + " " +
+            std::to_string(this->mirrors[kind]->revision()),
+        snapshot_limit,
+        [this, peer, kind](const core::result<std::string>& answer) {
+            this->is_fetching[kind] = false;
+            if (answer && !answer.value().empty()) {
+                this->take_snapshot(peer, kind, answer.value());
+            }
+        });
+}
+
+auto store_follower::take_snapshot(const core::node_id& peer, std::size_t kind,
+                                   const std::string& body) -> void
+{
+    auto& mirror = *this->mirrors[kind];
+    const auto had = mirror.revision();
+    const auto text = std::string_view(body).substr(1);
+    if (body.front() == changes_mark) {
+        if (const auto changes = adapter::decode_changes(text)) {
+            mirror.adopt_changes(changes.value());
+        }
+    } else if (auto page = adapter::decode_page(text)) {
+        mirror.adopt(page.value().revision, std::move(page.value().objects));
+    }
+    if (mirror.revision() == had) {
+        return;
+    }
+    this->log.write(severity::notice, "adopted_from_peer",
+                    {{"peer", peer.str()},
+                     {"kind", std::to_string(kind)},
+                     {"revision", std::to_string(mirror.revision())},
+                     {"had", std::to_string(had)}});
+    if (mirror.is_following()) {
+        mirror.nudge(silent_watch);
+    }
+}
+
+auto store_follower::announce(const adapter::node_entry& entry) -> void
+{
+    this->own = entry;
+    this->put_entry(false);
+}
+
+auto store_follower::put_entry(bool exists) -> void
+{
+    if (this->is_withdrawn) {
+        return;
+    }
+    const auto name = this->own.node.str();
+    const auto body = adapter::encode_node(this->own);
+    const auto kind = adapter::object_kind::nodes;
+    auto status = std::make_shared<int>(0);
+    auto hooks = http1::pool_hooks();
+    hooks.on_head = [status](const http1::response_head& head) {
+        *status = head.status;
+    };
+    hooks.on_done = [this, status](std::error_code error, bool) {
+        const auto refused = error ? error : adapter::store_error(*status);
+        if (refused == adapter::adapter_errc::conflict) {
+            this->put_entry(true);
+        } else if (refused) {
+            this->log.write(severity::notice, "announce_failed",
+                            {{"error", refused.message()}});
+            this->announce_timer.start(announce_retry);
+        }
+    };
+    this->pool.call({"store", this->store},
+                    exists
+                        ? adapter::encode_replace(this->store, kind, name, body)
+                        : adapter::encode_create(this->store, kind, name, body),
+                    {}, std::move(hooks));
+}
+
+auto store_follower::withdraw(const core::node_id& node) -> void
+{
+    this->is_withdrawn = true;
+    this->announce_timer.stop();
+    auto hooks = http1::pool_hooks();
+    hooks.on_done = [this](std::error_code error, bool) {
+        if (error) {
+            this->log.write(severity::notice, "withdraw_failed",
+                            {{"error", error.message()}});
+        }
+    };
+    this->pool.call({"store", this->store},
+                    adapter::encode_remove(
+                        this->store, adapter::object_kind::nodes, node.str()),
+                    {}, std::move(hooks));
+}
+
+} // namespace almondtiller::gateway
