--- a/tests/fakes/gateway_world/world.cpp
+++ b/tests/fakes/gateway_world/world.cpp
@@ -48,7 +48,8 @@
     auto address = sockaddr_in();
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    static_cast<void>(::bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+                             sizeof(address)));
     auto size = socklen_t(sizeof(address));
     getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
     close(descriptor);
--- a/tests/fault/soak/soak_test.cpp
+++ b/tests/fault/soak/soak_test.cpp
@@ -429,7 +429,7 @@
             << "seed " << seed << ", logs in " << run.log_folder();
         EXPECT_GT(run.successes(), run.requests() / 4) << "seed " << seed;
         std::cout << "seed " << seed << ": " << run.successes() << " of "
-                  << run.requests() << " requests served\n";
+                  << run.requests() << " requests served" << std::endl;
         if (faults.empty()) {
             std::filesystem::remove_all(run.log_folder());
         }
--- a/tests/unit/event/tcp_stream_test.cpp
+++ b/tests/unit/event/tcp_stream_test.cpp
@@ -22,8 +22,9 @@
         auto address = sockaddr_in();
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(this->descriptor, reinterpret_cast<sockaddr*>(&address),
-             sizeof(address));
+        static_cast<void>(::bind(this->descriptor,
+                                 reinterpret_cast<sockaddr*>(&address),
+                                 sizeof(address)));
         ::listen(this->descriptor, 4);
         auto size = socklen_t(sizeof(address));
         getsockname(this->descriptor, reinterpret_cast<sockaddr*>(&address),
