Become ready as soon as all lists are read

The last list was that of the evacuations, empty; nothing had changed, so nobody asked again whether all was known. Change: each list that was read asks. Test: is_ready_as_soon_as_all_lists_are_read (fails before).

--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -43,12 +43,16 @@
             this->owner, this->pool, this->store, kind, pause, this->log,
             std::move(hooks));
     };
-    const auto each = [](const std::function<void()>& taken) {
+    const auto each = [this](const std::function<void()>& taken) {
         auto hooks = store_mirror::hooks();
         hooks.on_changes = [taken](const auto&) {
             taken();
         };
-        hooks.on_list = taken;
+        hooks.on_list = [this, taken]() {
+            taken();
+            // A list may complete what is known without changing any of it.
+            this->changed();
+        };
         return hooks;
     };
     make(object_kind::configurations, core::milliseconds(0),
--- a/tests/fakes/gateway_world/fake_store.cpp
+++ b/tests/fakes/gateway_world/fake_store.cpp
@@ -101,6 +101,12 @@
     this->mode = wanted;
 }
 
+auto fake_store::set_delay(std::string kind, core::milliseconds time) -> void
+{
+    this->slow_kind = std::move(kind);
+    this->delay = time;
+}
+
 auto fake_store::compact() -> void
 {
     this->history.clear();
@@ -144,7 +150,13 @@
     const auto kind = path.substr(0, slash);
     const auto name =
         slash == std::string::npos ? std::string() : path.substr(slash + 1);
-    if (request.method == "GET") {
+    if (request.method == "GET" && kind == this->slow_kind) {
+        this->timers.push_back(std::make_unique<event::timer>(
+            this->owner, [this, kind, query, exchange]() {
+                this->on_read(kind, query, exchange);
+            }));
+        this->timers.back()->start(this->delay);
+    } else if (request.method == "GET") {
         this->on_read(kind, query, std::move(exchange));
     } else {
         this->on_write(request, kind, name, exchange);
--- a/tests/fakes/gateway_world/fake_store.h
+++ b/tests/fakes/gateway_world/fake_store.h
@@ -44,6 +44,9 @@
 
     auto set_mode(store_mode mode) -> void;
 
+    /// Answers calls of one kind that much later.
+    auto set_delay(std::string kind, core::milliseconds delay) -> void;
+
     /// Forgets the history: watches from before get 410.
     auto compact() -> void;
 
@@ -89,6 +92,9 @@
     std::int64_t oldest = 1;
     store_mode mode = store_mode::serves;
     std::uint64_t call_count = 0;
+    std::string slow_kind;
+    core::milliseconds delay{0};
+    std::vector<std::unique_ptr<event::timer>> timers;
 };
 
 } // namespace almondtiller::gateway_world
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -280,6 +280,15 @@
         [this]() { return this->ask("read", 1, "later").status == 200; }));
 }
 
+// Nothing changes after the last list has come, and that list is empty.
+TEST_F(whole_path_test, is_ready_as_soon_as_all_lists_are_read)
+{
+    this->world.store.set_delay("evacuations", core::milliseconds(200));
+    auto& node = this->add_node("a");
+    this->world.run_for(core::milliseconds(600));
+    EXPECT_EQ(this->readiness(node), 200);
+}
+
 TEST_F(whole_path_test, a_lost_owner_is_replaced)
 {
     for (auto turn = 0; turn < 2; ++turn) {
