--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -27,7 +27,6 @@
 
 auto run(const std::string& path, const serving::node_settings& settings) -> int
 {
-    signal(SIGPIPE, SIG_IGN);
     const auto clock = core::runtime_clock();
     auto loop = event::loop(clock);
     auto log = gateway::event_log(loop, STDOUT_FILENO, settings.node.str());
--- a/src/libs/event/loop.cpp
+++ b/src/libs/event/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <uv.h>
 
+#include <csignal>
 #include <deque>
 #include <utility>
 
@@ -44,6 +45,9 @@
 loop::loop(const core::runtime_clock& clock)
     : data(std::make_unique<state>(clock))
 {
+    // A write to a connection that the peer has closed must fail, not end the
+    // process.
+    std::signal(SIGPIPE, SIG_IGN);
     uv_loop_init(&this->data->native);
     uv_idle_init(&this->data->native, &this->data->idle);
     this->data->idle.data = this->data.get();
--- a/src/libs/event/loop.h
+++ b/src/libs/event/loop.h
@@ -9,7 +9,7 @@
 
 namespace almondtiller::event {
 
-/// The event loop of a process.
+/// The event loop of a process. The process ignores SIGPIPE from then on.
 class loop
 {
 public:
--- a/tests/unit/event/tcp_stream_test.cpp
+++ b/tests/unit/event/tcp_stream_test.cpp
@@ -155,6 +155,19 @@
     EXPECT_TRUE(*error);
 }
 
+// The soak's driver ended by SIGPIPE at seed 16.
+TEST_F(tcp_stream_test, a_write_after_the_peers_reset_fails_without_a_signal)
+{
+    this->connect();
+    reset(this->listener.accept());
+    for (auto turn = 0; turn < 3; ++turn) {
+        this->stream->write("bytes");
+    }
+    this->start();
+    this->run_until([this]() { return this->end.has_value(); });
+    EXPECT_TRUE(*this->end);
+}
+
 TEST_F(tcp_stream_test, calls_no_hook_after_close)
 {
     this->connect();
