Refuse waiting stage work as soon as it is hopeless; log sends

Change: at each check the queue's own drain rate decides; what can't begin before its deadline is refused then, with the time that the queue needs. Lines of sends, and of ends with upstream, time left and the time that the caller was told.

Kept for the callers' sake: a refusal comes when it is known. Test: refuses_waiting_work_as_soon_as_it_is_hopeless.

--- a/src/libs/dispatch/stage_results.cpp
+++ b/src/libs/dispatch/stage_results.cpp
@@ -126,12 +126,16 @@
 {
     auto effects = stage_effects();
     auto over = std::vector<std::uint64_t>();
-    for (const auto& [ticket, state] : this->works) {
-        if (state.work.deadline <= now + this->call_time(1) / 2 &&
-            std::any_of(state.pieces.begin(), state.pieces.end(),
-                        [](const auto& piece) { return piece.is_waiting; })) {
-            over.push_back(ticket);
+    auto ahead = std::size_t(0);
+    for (const auto* state : this->order(now)) {
+        const auto begins = now + this->wait_for(ahead);
+        if (begins + this->call_time(1) / 2 >= state->work.deadline) {
+            over.push_back(state->work.ticket);
+            continue;
         }
+        ahead += std::size_t(
+            std::count_if(state->pieces.begin(), state->pieces.end(),
+                          [](const auto& piece) { return piece.is_waiting; }));
     }
     for (const auto ticket : over) {
         this->end_work(ticket, stage_status::refused, effects,
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -32,6 +32,17 @@
     this->body.clear();
     this->events.restart();
     ++this->attempts;
+    this->last_upstream = granted.id;
+    this->shared.log.write(
+        severity::detail, "sent",
+        {{"request", this->request.id.str()},
+         {"service", this->service.str()},
+         {"upstream", granted.id.str()},
+         {"zone", granted.zone.str()},
+         {"owner", this->shared.dispatch.owner_of(this->service).str()},
+         {"attempt", std::to_string(this->attempts)},
+         {"left_ms", std::to_string(with.time_left.count())},
+         {"elapsed_ms", this->elapsed_ms()}});
     auto options = http1::call_options();
     options.connect_limit = connect_limit;
     options.longest_idle = this->is_repeatable() ? safe_idle : unsafe_idle;
--- a/src/services/gateway/request_end.cpp
+++ b/src/services/gateway/request_end.cpp
@@ -38,6 +38,7 @@
     const auto wait =
         core::milliseconds(std::int64_t(double(retry_after.count()) * jitter));
     const auto bounded = std::clamp(wait, shortest_retry, most);
+    this->told_retry = bounded;
     this->caller->respond(
         unavailable, adapter::own_answer_headers(this->request.id, bounded),
         "");
@@ -93,7 +94,14 @@
          {"config", std::to_string(this->config->version)},
          {"elapsed_ms", this->elapsed_ms()},
          {"attempts", std::to_string(this->attempts)},
-         {"upstream", this->upstream ? this->upstream->id.str() : "none"}});
+         {"turned_away", std::to_string(this->turned_away)},
+         {"left_ms",
+          std::to_string(
+              to_ms(this->deadline - this->shared.owner.now()).count())},
+         {"retry_after_ms", std::to_string(this->told_retry.count())},
+         {"upstream", this->last_upstream.empty()
+                          ? std::string("none")
+                          : this->last_upstream.str()}});
     if (this->call) {
         std::exchange(this->call, nullptr)->cancel();
     }
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -101,11 +101,15 @@
     int stage_restarts = 0;
 
     std::optional<serving::upstream> upstream;
+    /// Of the last send, also after its end.
+    core::upstream_id last_upstream;
     std::shared_ptr<http1::pooled_call> call;
     std::vector<core::upstream_id> excluded;
     /// Sends that may have run.
     int attempts = 0;
     int turned_away = 0;
+    /// What a refused caller was told to wait.
+    core::milliseconds told_retry{0};
     std::optional<http1::response_head> head;
     serving::upstream_verdict verdict;
     std::string body;
--- a/tests/unit/dispatch/stage_queue_test.cpp
+++ b/tests/unit/dispatch/stage_queue_test.cpp
@@ -239,6 +239,24 @@
     EXPECT_GT(refusal->retry_after, milliseconds(1000));
 }
 
+// Load pattern: upstreams are lost while much waits; what can't begin before
+// its deadline is refused then, not when its deadline comes.
+TEST_F(stage_queue_test, refuses_waiting_work_as_soon_as_it_is_hopeless)
+{
+    for (auto ticket = 1U; ticket <= 40; ++ticket) {
+        EXPECT_FALSE(this->queue.submit(
+            this->work(ticket, 8, milliseconds(900)), this->now));
+    }
+    EXPECT_TRUE(this->queue.on_time(this->now).outcomes.empty());
+    this->queue.set_engines({engine("a", "za")});
+    const auto effects = this->queue.on_time(this->now);
+    EXPECT_GT(effects.outcomes.size(), 10U);
+    for (const auto& outcome : effects.outcomes) {
+        EXPECT_EQ(outcome.status, stage_status::refused);
+        EXPECT_GT(outcome.ticket, 10U) << "the first can still be done";
+    }
+}
+
 TEST_F(stage_queue_test, pieces_of_an_overdue_call_go_elsewhere)
 {
     this->queue.submit(this->work(1, 2, milliseconds(900)), this->now);
