--- a/src/libs/dispatch/stage_queue.h
+++ b/src/libs/dispatch/stage_queue.h
@@ -113,8 +113,8 @@
     auto on_call_failed(std::uint64_t call, bool is_full, core::time_point now)
         -> stage_effects;
 
-    /// Ends works that can't begin in time any more and makes the pieces of overdue calls
-    /// available to other upstreams.
+    /// Ends works that can't begin in time any more and makes the pieces of
+    /// overdue calls available to other upstreams.
     auto on_time(core::time_point now) -> stage_effects;
 
     /// A result was freed at its upstream.
