--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "event/tcp_listener.h"
+#include "services/gateway/flow_limits.h"
 #include "services/gateway/gateway.h"
 #include "services/gateway/request_flow.h"
 #include "services/gateway/store_follower.h"
@@ -29,7 +30,6 @@
 inline constexpr auto bad_request = 400;
 inline constexpr auto unauthorized = 401;
 inline constexpr auto not_found = 404;
-inline constexpr auto unavailable = 503;
 
 struct node::state
 {
--- a/src/services/gateway/peer_links.cpp
+++ b/src/services/gateway/peer_links.cpp
@@ -88,7 +88,7 @@
     const auto node = link.view.entry.node;
     const auto address = link.view.entry.peers;
     event::tcp_stream::connect(
-        this->owner, address, connect_limit,
+        this->owner, address, peer_connect_limit,
         [weak = this->weak_from_this(), node, address](
             std::shared_ptr<event::tcp_stream> stream, std::error_code error) {
             if (const auto self = weak.lock()) {
--- a/src/services/gateway/peer_mesh_state.h
+++ b/src/services/gateway/peer_mesh_state.h
@@ -20,7 +20,7 @@
 /// Each peer adds that much to the interval, so that the heartbeats of a
 /// large fleet do not use up small machines.
 inline constexpr auto beat_interval_per_peer = core::milliseconds(10);
-inline constexpr auto connect_limit = core::milliseconds(400);
+inline constexpr auto peer_connect_limit = core::milliseconds(400);
 inline constexpr auto beat_topic = "beat";
 
 /// An outgoing connection to one peer.
