Explain a request from the logs of nodes; owners log what they refuse

Cause: on-call had to read the lines of each node by hand, and refusals of stage work and of placements named no request where they were decided.

- Nodes write a clock line a minute, which maps their steady time to the time of day; owners write stage_done, stage_refused and placement_refused with the waiting pieces, the estimated wait, the time left and the upstreams.

--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -29,7 +29,8 @@
 {
     const auto clock = core::runtime_clock();
     auto loop = event::loop(clock);
-    auto log = gateway::event_log(loop, STDOUT_FILENO, settings.node.str());
+    auto log =
+        gateway::event_log(loop, clock, STDOUT_FILENO, settings.node.str());
     auto metrics = core::metrics_registry();
     auto node =
         gateway::node(loop, settings, log, metrics, [&loop]() { loop.stop(); });
--- a/src/apps/tillerctl/command_line.cpp
+++ b/src/apps/tillerctl/command_line.cpp
@@ -14,7 +14,7 @@
 namespace options = boost::program_options;
 
 constexpr auto version_text = "tillerctl 0.1.0\n";
-constexpr auto name_width = 12;
+constexpr auto name_width = 17;
 
 auto visible_options() -> options::options_description
 {
@@ -31,6 +31,8 @@
         "table or json")("timeout",
                          options::value<std::string>()->default_value("10s"),
                          "how long to wait, like 500ms or 10s")(
+        "log", options::value<std::vector<std::string>>()->multitoken(),
+        "logs of nodes, for explain-request")(
         "dry-run", "show what would change and change nothing")(
         "prune", "remove what is declared no more")(
         "force", "allow what is refused as dangerous");
@@ -116,6 +118,9 @@
                                    timeout);
     }
     call.timeout = parsed.value();
+    if (values.contains("log")) {
+        call.logs = values["log"].as<std::vector<std::string>>();
+    }
     call.dry_run = values.contains("dry-run");
     call.prune = values.contains("prune");
     call.force = values.contains("force");
--- a/src/apps/tillerctl/commands.h
+++ b/src/apps/tillerctl/commands.h
@@ -14,6 +14,8 @@
 [[nodiscard]] auto run_get(const invocation& call, terminal& io) -> exit_status;
 [[nodiscard]] auto run_explain(const invocation& call, terminal& io)
     -> exit_status;
+[[nodiscard]] auto run_explain_request(const invocation& call, terminal& io)
+    -> exit_status;
 [[nodiscard]] auto run_history(const invocation& call, terminal& io)
     -> exit_status;
 [[nodiscard]] auto run_zone(const invocation& call, terminal& io)
--- a/src/apps/tillerctl/invocation.h
+++ b/src/apps/tillerctl/invocation.h
@@ -19,9 +19,10 @@
 {
     std::string command;
     std::vector<std::string> arguments;
-    std::string platform; ///< IP and port of the platform's API.
-    std::string node;     ///< IP and port of any node.
-    std::string who;      ///< Recorded with each change.
+    std::string platform;          ///< IP and port of the platform's API.
+    std::string node;              ///< IP and port of any node.
+    std::string who;               ///< Recorded with each change.
+    std::vector<std::string> logs; ///< Files with the lines of nodes.
     output_format output = output_format::table;
     core::milliseconds timeout{0};
     bool dry_run = false;
--- a/src/apps/tillerctl/local_commands.cpp
+++ b/src/apps/tillerctl/local_commands.cpp
@@ -12,7 +12,7 @@
 {
     local current=${COMP_WORDS[COMP_CWORD]}
     local flags="--help --version --platform --node --who --output --timeout
-        --dry-run --prune --force"
+        --log --dry-run --prune --force"
     if [[ $current == -* ]]; then
         COMPREPLY=($(compgen -W "$flags" -- "$current"))
     elif [[ $COMP_CWORD -eq 1 ]]; then
--- a/src/services/gateway/event_log.cpp
+++ b/src/services/gateway/event_log.cpp
@@ -17,6 +17,9 @@
 /// requests need.
 constexpr auto details_per_second = 60U;
 constexpr auto flush_delay = core::milliseconds(100);
+/// Clocks of machines drift apart by far less than a request's time within
+/// that.
+constexpr auto clock_interval = std::chrono::seconds(60);
 
 auto append_value(std::string& line, const std::string& value) -> void
 {
@@ -33,8 +36,10 @@
 
 } // namespace
 
-event_log::event_log(event::loop& loop, int target, std::string name)
+event_log::event_log(event::loop& loop, const core::runtime_clock& time,
+                     int target, std::string name)
     : owner(loop),
+      clock(time),
       descriptor(target),
       node(std::move(name)),
       flusher(loop, [this]() {
@@ -63,13 +68,9 @@
            double(this->buffer.size()) < detail_share * buffer_bytes;
 }
 
-auto event_log::write(severity level, std::string_view event,
-                      std::initializer_list<log_field> fields) -> void
+auto event_log::append(std::string_view event,
+                       std::initializer_list<log_field> fields) -> void
 {
-    if (!this->has_room(level)) {
-        ++this->dropped_lines;
-        return;
-    }
     const auto uptime = std::chrono::duration_cast<core::milliseconds>(
         this->owner.now().time_since_epoch());
     auto& line = this->buffer;
@@ -83,6 +84,29 @@
         append_value(line, field.value);
     }
     line += '\n';
+}
+
+auto event_log::write_clock() -> void
+{
+    const auto now = this->owner.now();
+    if (this->clock_written && now - *this->clock_written < clock_interval) {
+        return;
+    }
+    this->clock_written = now;
+    const auto wall = std::chrono::duration_cast<core::milliseconds>(
+        this->clock.wall_now().time_since_epoch());
+    this->append("clock", {{"wall_ms", std::to_string(wall.count())}});
+}
+
+auto event_log::write(severity level, std::string_view event,
+                      std::initializer_list<log_field> fields) -> void
+{
+    if (!this->has_room(level)) {
+        ++this->dropped_lines;
+        return;
+    }
+    this->write_clock();
+    this->append(event, fields);
     if (!std::exchange(this->is_scheduled, true)) {
         this->flusher.start(flush_delay);
     }
@@ -91,9 +115,8 @@
 auto event_log::flush() -> void
 {
     if (this->dropped_lines > this->reported_lines) {
-        this->buffer += "node=" + this->node +
-                        " event=log_lines_dropped total=" +
-                        std::to_string(this->dropped_lines) + "\n";
+        this->append("log_lines_dropped",
+                     {{"total", std::to_string(this->dropped_lines)}});
         this->reported_lines = this->dropped_lines;
     }
     const auto written =
--- a/src/services/gateway/event_log.h
+++ b/src/services/gateway/event_log.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,8 +31,11 @@
 class event_log
 {
 public:
+    /// \param clock Its time of day goes into a `clock` line now and then, so
+    ///        that lines of several nodes can be put in one order.
     /// \param descriptor Made non-blocking.
-    event_log(event::loop& owner, int descriptor, std::string node);
+    event_log(event::loop& owner, const core::runtime_clock& clock,
+              int descriptor, std::string node);
 
     auto write(severity level, std::string_view event,
                std::initializer_list<log_field> fields) -> void;
@@ -43,8 +47,12 @@
 
 private:
     auto has_room(severity level) -> bool;
+    auto append(std::string_view event, std::initializer_list<log_field> fields)
+        -> void;
+    auto write_clock() -> void;
 
     event::loop& owner;
+    const core::runtime_clock& clock;
     int descriptor;
     std::string node;
     std::string buffer;
@@ -52,6 +60,8 @@
     std::uint64_t reported_lines = 0;
     core::time_point second_start;
     std::uint32_t details_in_second = 0;
+    /// None before the first line.
+    std::optional<core::time_point> clock_written;
     bool is_scheduled = false;
     event::timer flusher;
 };
--- /dev/null
+++ b/src/services/gateway/placement_dispatcher.cpp
@@ -0,0 +1,214 @@
+#include "services/gateway/placement_dispatcher.h"
+
+#include <utility>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+/// A caller whose service isn't configured comes back after that time, within
+/// which a configuration is in force everywhere.
+constexpr auto unknown_service_retry = core::milliseconds(500);
+
+auto to_ms(core::duration time) -> std::string
+{
+    return std::to_string(
+        std::chrono::duration_cast<core::milliseconds>(time).count());
+}
+
+} // namespace
+
+placement_dispatcher::placement_dispatcher(event::loop& loop,
+                                           const dispatch::serving_state& state,
+                                           event_log& lines,
+                                           dispatch::placement_limits bounds,
+                                           std::function<void()> ask_for_pump)
+    : owner(loop),
+      known(state),
+      log(lines),
+      limits(bounds),
+      schedule(std::move(ask_for_pump))
+{}
+
+auto placement_dispatcher::find(const serving::service_name& name)
+    -> placed_service*
+{
+    const auto found = this->services.find(name);
+    if (found != this->services.end()) {
+        return found->second.get();
+    }
+    const auto* spec = this->known.config()
+                           ? this->known.config()->find_service(name)
+                           : nullptr;
+    if (spec == nullptr) {
+        return nullptr;
+    }
+    auto made = std::make_shared<placed_service>(
+        placed_service{dispatch::placement(*spec, this->limits), {}, {}});
+    auto* result = made.get();
+    this->services[name] = std::move(made);
+    this->refresh();
+    return result;
+}
+
+auto placement_dispatcher::refresh() -> void
+{
+    const auto& config = this->known.config();
+    for (auto& [name, service] : this->services) {
+        if (const auto* spec = config ? config->find_service(name) : nullptr) {
+            service->places.set_service(*spec);
+        }
+        service->places.set_upstreams(this->known.usable(name));
+    }
+}
+
+auto placement_dispatcher::pump() -> bool
+{
+    auto is_waiting = false;
+    // Callbacks may add services.
+    const auto current = this->services;
+    for (const auto& [name, service] : current) {
+        this->pump(name, *service);
+        is_waiting = is_waiting || service->places.waiting() > 0;
+    }
+    return is_waiting;
+}
+
+auto placement_dispatcher::submit(place_message message, std::uint64_t ticket,
+                                  const core::node_id& origin, place_done done)
+    -> void
+{
+    auto* service = this->find(message.service);
+    if (service == nullptr) {
+        auto refusal = dispatch::placement_outcome();
+        refusal.status = dispatch::placement_status::refused;
+        refusal.retry_after = unknown_service_retry;
+        done(refusal);
+        return;
+    }
+    const auto& request = message.request.request;
+    this->end(*service, request, dispatch::work_end::given_up);
+    message.request.ticket = ticket;
+    service->requests[ticket] = request;
+    auto& made = service->entries[request];
+    made.ticket = ticket;
+    made.origin = origin;
+    made.submitted = this->owner.now();
+    made.deadline = message.request.deadline;
+    if (!message.placed_at.empty()) {
+        service->places.adopt(message.request, message.placed_at,
+                              this->owner.now());
+        auto accepted = dispatch::placement_outcome();
+        accepted.upstream.id = message.placed_at;
+        done(accepted);
+        return;
+    }
+    made.done = std::move(done);
+    service->places.submit(std::move(message.request), this->owner.now());
+    this->schedule();
+}
+
+auto placement_dispatcher::pump(const serving::service_name& name,
+                                placed_service& service) -> void
+{
+    for (const auto& outcome : service.places.next(this->owner.now())) {
+        const auto request = service.requests.find(outcome.ticket);
+        if (request == service.requests.end()) {
+            continue;
+        }
+        auto& decided = service.entries[request->second];
+        const auto done = std::exchange(decided.done, nullptr);
+        if (outcome.status != dispatch::placement_status::granted) {
+            this->log_refusal(name, service, request->second, decided,
+                              outcome.status);
+            service.entries.erase(request->second);
+            service.requests.erase(request);
+        }
+        if (done) {
+            done(outcome);
+        }
+    }
+}
+
+auto placement_dispatcher::log_refusal(const serving::service_name& name,
+                                       const placed_service& service,
+                                       const core::request_id& request,
+                                       const entry& refused,
+                                       dispatch::placement_status status)
+    -> void
+{
+    const auto now = this->owner.now();
+    const auto is_budget = status == dispatch::placement_status::out_of_budget;
+    this->log.write(
+        severity::failure, "placement_refused",
+        {{"request", request.str()},
+         {"service", name.str()},
+         {"reason", is_budget ? "repeat_budget_spent" : "no_room_in_time"},
+         {"waited_ms", to_ms(now - refused.submitted)},
+         {"left_ms", to_ms(refused.deadline - now)},
+         {"waiting", std::to_string(service.places.waiting())},
+         {"running", std::to_string(service.requests.size())},
+         {"upstreams", std::to_string(this->known.usable(name).size())}});
+}
+
+auto placement_dispatcher::end(placed_service& service,
+                               const core::request_id& request,
+                               dispatch::work_end how) -> void
+{
+    const auto found = service.entries.find(request);
+    if (found == service.entries.end()) {
+        return;
+    }
+    service.places.cancel(found->second.ticket);
+    service.places.on_ended(found->second.ticket, how, this->owner.now());
+    service.requests.erase(found->second.ticket);
+    service.entries.erase(found);
+}
+
+auto placement_dispatcher::cancel(const serving::service_name& name,
+                                  const core::request_id& request) -> void
+{
+    const auto found = this->services.find(name);
+    if (found != this->services.end()) {
+        this->end(*found->second, request, dispatch::work_end::given_up);
+    }
+}
+
+auto placement_dispatcher::report(const report_message& message) -> void
+{
+    const auto found = this->services.find(message.service);
+    if (found == this->services.end()) {
+        return;
+    }
+    auto& service = *found->second;
+    const auto entry = service.entries.find(message.request);
+    if (entry == service.entries.end()) {
+        return;
+    }
+    if (message.is_started) {
+        service.places.on_started(entry->second.ticket, this->owner.now());
+    }
+    if (message.is_ended) {
+        this->end(service, message.request, message.how);
+    }
+    if (service.places.waiting() > 0) {
+        this->schedule();
+    }
+}
+
+auto placement_dispatcher::drop_origin(const core::node_id& origin) -> void
+{
+    for (auto& [name, service] : this->services) {
+        auto lost = std::vector<core::request_id>();
+        for (const auto& [request, entry] : service->entries) {
+            if (entry.origin == origin) {
+                lost.push_back(request);
+            }
+        }
+        for (const auto& request : lost) {
+            this->end(*service, request, dispatch::work_end::given_up);
+        }
+    }
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/placement_dispatcher.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "dispatch/placement.h"
+#include "event/loop.h"
+#include "services/gateway/event_log.h"
+#include "services/gateway/peer_messages.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace almondtiller::gateway {
+
+/// Places the requests of all nodes on the upstreams of the services that
+/// this node owns.
+class placement_dispatcher
+{
+public:
+    using place_done = std::function<void(dispatch::placement_outcome)>;
+
+    /// \param schedule Asks for a call of pump() soon.
+    placement_dispatcher(event::loop& owner,
+                         const dispatch::serving_state& known, event_log& log,
+                         dispatch::placement_limits limits,
+                         std::function<void()> schedule);
+
+    /// The configuration or the upstreams have changed.
+    auto refresh() -> void;
+
+    /// Decides what can be decided now.
+    /// \return Whether requests wait.
+    auto pump() -> bool;
+
+    /// \param origin The node that sends the request to the upstream.
+    /// \param ticket Unique.
+    auto submit(place_message message, std::uint64_t ticket,
+                const core::node_id& origin, place_done done) -> void;
+    auto cancel(const serving::service_name& service,
+                const core::request_id& request) -> void;
+    auto report(const report_message& message) -> void;
+
+    /// A node is gone, and with it the requests that it had sent.
+    auto drop_origin(const core::node_id& origin) -> void;
+
+private:
+    struct entry
+    {
+        std::uint64_t ticket = 0;
+        core::node_id origin;
+        core::time_point submitted;
+        core::time_point deadline;
+        place_done done;
+    };
+    struct placed_service
+    {
+        dispatch::placement places;
+        std::map<core::request_id, entry> entries;
+        std::map<std::uint64_t, core::request_id> requests;
+    };
+
+    auto find(const serving::service_name& name) -> placed_service*;
+    auto pump(const serving::service_name& name, placed_service& service)
+        -> void;
+    auto log_refusal(const serving::service_name& name,
+                     const placed_service& service,
+                     const core::request_id& request, const entry& refused,
+                     dispatch::placement_status status) -> void;
+    auto end(placed_service& service, const core::request_id& request,
+             dispatch::work_end how) -> void;
+
+    event::loop& owner;
+    const dispatch::serving_state& known;
+    event_log& log;
+    dispatch::placement_limits limits;
+    std::function<void()> schedule;
+    std::map<serving::service_name, std::shared_ptr<placed_service>> services;
+};
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/stage_dispatcher.cpp
@@ -0,0 +1,298 @@
+#include "services/gateway/stage_dispatcher.h"
+
+#include "platform/stage_calls.h"
+
+#include <utility>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+/// A stage call that took that long is closed.
+constexpr auto longest_call = core::milliseconds(5000);
+constexpr auto connect_limit = core::milliseconds(300);
+constexpr auto failure_status = 0;
+
+auto to_ms(core::duration time) -> std::string
+{
+    return std::to_string(
+        std::chrono::duration_cast<core::milliseconds>(time).count());
+}
+
+auto text_of(dispatch::stage_status status) -> std::string
+{
+    switch (status) {
+    case dispatch::stage_status::done:
+        return "done";
+    case dispatch::stage_status::refused:
+        return "not_in_time";
+    case dispatch::stage_status::input_gone:
+        return "input_gone";
+    case dispatch::stage_status::failed:
+        return "no_service";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+stage_dispatcher::stage_dispatcher(event::loop& loop,
+                                   const dispatch::serving_state& state,
+                                   http1::client_pool& calls, event_log& lines,
+                                   std::function<void()> ask_for_pump)
+    : owner(loop),
+      known(state),
+      pool(calls),
+      log(lines),
+      schedule(std::move(ask_for_pump))
+{}
+
+auto stage_dispatcher::find(const serving::service_name& name) -> stage_service*
+{
+    const auto found = this->services.find(name);
+    if (found != this->services.end()) {
+        return found->second.get();
+    }
+    const auto* spec = this->known.config()
+                           ? this->known.config()->find_service(name)
+                           : nullptr;
+    if (spec == nullptr || !spec->stages) {
+        return nullptr;
+    }
+    auto made = std::make_shared<stage_service>(
+        stage_service{dispatch::stage_queue(*spec->stages), {}, {}});
+    auto* result = made.get();
+    this->services[name] = std::move(made);
+    this->refresh();
+    return result;
+}
+
+auto stage_dispatcher::refresh() -> void
+{
+    const auto& config = this->known.config();
+    for (auto& [name, service] : this->services) {
+        const auto* spec = config ? config->find_service(name) : nullptr;
+        if (spec != nullptr && spec->stages) {
+            service->queue.set_pool(*spec->stages);
+        }
+        auto engines = std::vector<dispatch::stage_engine>();
+        for (const auto& upstream : this->known.usable(name)) {
+            engines.push_back({upstream.upstream.id, upstream.upstream.address,
+                               upstream.upstream.zone});
+        }
+        service->queue.set_engines(engines);
+    }
+}
+
+auto stage_dispatcher::pump() -> bool
+{
+    auto is_active = false;
+    // Callbacks may add services.
+    const auto current = this->services;
+    for (const auto& [name, service] : current) {
+        this->apply(name, *service, service->queue.on_time(this->owner.now()));
+        while (auto call = service->queue.next_call(this->owner.now())) {
+            this->send_call(name, *call);
+        }
+        is_active =
+            is_active || !service->waiting.empty() || !service->calls.empty();
+    }
+    return is_active;
+}
+
+auto stage_dispatcher::submit(const serving::service_name& name,
+                              std::uint64_t ticket, dispatch::stage_work work,
+                              stage_done done) -> bool
+{
+    work.ticket = ticket;
+    auto* service = this->find(name);
+    if (service == nullptr) {
+        auto failure = dispatch::stage_outcome();
+        failure.status = dispatch::stage_status::failed;
+        done(failure);
+        return false;
+    }
+    const auto now = this->owner.now();
+    auto entry = waiting_work();
+    if (!work.items.empty()) {
+        entry.request = work.items.front().request;
+    }
+    entry.submitted = now;
+    entry.deadline = work.deadline;
+    if (const auto refusal = service->queue.submit(std::move(work), now)) {
+        this->log_outcome(name, *service, entry, *refusal);
+        done(*refusal);
+        return false;
+    }
+    entry.done = std::move(done);
+    service->waiting[ticket] = std::move(entry);
+    this->schedule();
+    return true;
+}
+
+auto stage_dispatcher::cancel(const serving::service_name& name,
+                              std::uint64_t ticket) -> void
+{
+    const auto found = this->services.find(name);
+    if (found != this->services.end()) {
+        found->second->waiting.erase(ticket);
+        this->apply(name, *found->second, found->second->queue.cancel(ticket));
+    }
+}
+
+auto stage_dispatcher::send_call(const serving::service_name& name,
+                                 const dispatch::stage_call& call) -> void
+{
+    auto body = std::make_shared<std::string>();
+    auto status = std::make_shared<int>(failure_status);
+    auto hooks = http1::pool_hooks();
+    hooks.on_head = [status](const http1::response_head& head) {
+        *status = head.status;
+    };
+    hooks.on_body = [body](std::string_view bytes) {
+        *body += bytes;
+    };
+    auto options = http1::call_options();
+    options.connect_limit = connect_limit;
+    auto request = adapter::encode_stage_call(call.engine.address,
+                                              call.engine.id, call.items);
+    auto limit =
+        std::make_shared<event::timer>(this->owner, [this, name, call]() {
+            auto* service = this->find(name);
+            if (service == nullptr) {
+                return;
+            }
+            const auto open = service->calls.find(call.id);
+            if (open != service->calls.end()) {
+                open->second->cancel();
+                this->on_call_done(name, call, failure_status, "",
+                                   std::make_error_code(std::errc::timed_out));
+            }
+        });
+    limit->start(longest_call);
+    hooks.on_done = [this, name, call, body, status,
+                     limit](std::error_code error, bool) {
+        limit->stop();
+        this->on_call_done(name, call, *status, *body, error);
+    };
+    this->services[name]->calls[call.id] =
+        this->pool.call({call.engine.id.str(), call.engine.address},
+                        std::move(request), options, std::move(hooks));
+}
+
+auto stage_dispatcher::on_call_done(const serving::service_name& name,
+                                    const dispatch::stage_call& call,
+                                    int status, const std::string& body,
+                                    std::error_code error) -> void
+{
+    const auto found = this->services.find(name);
+    if (found == this->services.end()) {
+        return;
+    }
+    auto& service = *found->second;
+    service.calls.erase(call.id);
+    const auto now = this->owner.now();
+    constexpr auto ok_status = 200;
+    if (!error && status == ok_status) {
+        if (const auto results =
+                adapter::decode_stage_results(body, call.items.size())) {
+            this->apply(
+                name, service,
+                service.queue.on_results(call.id, results.value(), now));
+            this->schedule();
+            return;
+        }
+    }
+    this->log.write(severity::failure, "stage_call_failed",
+                    {{"service", name.str()},
+                     {"upstream", call.engine.id.str()},
+                     {"pieces", std::to_string(call.items.size())},
+                     {"status", std::to_string(status)},
+                     {"error", error ? error.message() : "none"}});
+    constexpr auto full_status = 503;
+    this->apply(name, service,
+                service.queue.on_call_failed(
+                    call.id, !error && status == full_status, now));
+    this->schedule();
+}
+
+auto stage_dispatcher::apply(const serving::service_name& name,
+                             stage_service& service,
+                             const dispatch::stage_effects& effects) -> void
+{
+    if (!effects.unwanted.empty()) {
+        this->free_results(name, effects.unwanted);
+    }
+    for (const auto& outcome : effects.outcomes) {
+        const auto found = service.waiting.find(outcome.ticket);
+        if (found == service.waiting.end()) {
+            continue;
+        }
+        const auto work = std::move(found->second);
+        service.waiting.erase(found);
+        this->log_outcome(name, service, work, outcome);
+        work.done(outcome);
+    }
+}
+
+auto stage_dispatcher::log_outcome(const serving::service_name& name,
+                                   const stage_service& service,
+                                   const waiting_work& work,
+                                   const dispatch::stage_outcome& outcome)
+    -> void
+{
+    const auto now = this->owner.now();
+    const auto is_done = outcome.status == dispatch::stage_status::done;
+    this->log.write(
+        is_done ? severity::detail : severity::failure,
+        is_done ? "stage_done" : "stage_refused",
+        {{"request", work.request.str()},
+         {"service", name.str()},
+         {"reason", text_of(outcome.status)},
+         {"waited_ms", to_ms(now - work.submitted)},
+         {"left_ms", to_ms(work.deadline - now)},
+         {"queue_ms", to_ms(service.queue.estimated_wait(now))},
+         {"pieces_waiting", std::to_string(service.queue.waiting_pieces())},
+         {"upstreams", std::to_string(this->known.usable(name).size())}});
+}
+
+auto stage_dispatcher::free_results(const serving::service_name& name,
+                                    const std::vector<std::string>& handles)
+    -> void
+{
+    auto by_holder = std::map<core::endpoint, std::vector<std::string>>();
+    const auto service = this->services.find(name);
+    for (const auto& handle : handles) {
+        if (service != this->services.end()) {
+            service->second->queue.on_freed(handle);
+        }
+        if (const auto holder = adapter::result_holder(handle)) {
+            by_holder[*holder].push_back(handle);
+        }
+    }
+    for (const auto& [id, upstream] : this->known.upstreams()) {
+        const auto held = by_holder.find(upstream.upstream.address);
+        if (held == by_holder.end() || upstream.upstream.service != name) {
+            continue;
+        }
+        auto hooks = http1::pool_hooks();
+        hooks.on_done = [this, name](std::error_code error, bool) {
+            if (error) {
+                // The result then goes with its own lifetime.
+                this->log.write(
+                    severity::notice, "free_failed",
+                    {{"service", name.str()}, {"error", error.message()}});
+            }
+        };
+        auto options = http1::call_options();
+        options.connect_limit = connect_limit;
+        this->pool.call(
+            {id.str(), held->first},
+            adapter::encode_free_call(held->first, id, held->second), options,
+            std::move(hooks));
+        by_holder.erase(held);
+    }
+    this->schedule();
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/stage_dispatcher.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "dispatch/serving_state.h"
+#include "dispatch/stage_queue.h"
+#include "event/timer.h"
+#include "http1/client_pool.h"
+#include "services/gateway/event_log.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace almondtiller::gateway {
+
+/// Does the stage work of the services that this node owns: keeps a queue a
+/// service, sends its calls to upstreams and frees results.
+class stage_dispatcher
+{
+public:
+    using stage_done = std::function<void(dispatch::stage_outcome)>;
+
+    /// \param schedule Asks for a call of pump() soon.
+    stage_dispatcher(event::loop& owner, const dispatch::serving_state& known,
+                     http1::client_pool& calls, event_log& log,
+                     std::function<void()> schedule);
+
+    /// The configuration or the upstreams have changed.
+    auto refresh() -> void;
+
+    /// Sends what can be sent and ends what can't be done in time.
+    /// \return Whether work waits or runs.
+    auto pump() -> bool;
+
+    /// \param ticket For cancel(); unique.
+    /// \return Whether the work waits; otherwise \a done was called.
+    auto submit(const serving::service_name& service, std::uint64_t ticket,
+                dispatch::stage_work work, stage_done done) -> bool;
+    auto cancel(const serving::service_name& service, std::uint64_t ticket)
+        -> void;
+    auto free_results(const serving::service_name& service,
+                      const std::vector<std::string>& handles) -> void;
+
+private:
+    struct waiting_work
+    {
+        core::request_id request;
+        core::time_point submitted;
+        core::time_point deadline;
+        stage_done done;
+    };
+    struct stage_service
+    {
+        dispatch::stage_queue queue;
+        std::map<std::uint64_t, waiting_work> waiting;
+        std::map<std::uint64_t, std::shared_ptr<http1::pooled_call>> calls;
+    };
+
+    auto find(const serving::service_name& name) -> stage_service*;
+    auto send_call(const serving::service_name& name,
+                   const dispatch::stage_call& call) -> void;
+    auto on_call_done(const serving::service_name& name,
+                      const dispatch::stage_call& call, int status,
+                      const std::string& body, std::error_code error) -> void;
+    auto apply(const serving::service_name& name, stage_service& service,
+               const dispatch::stage_effects& effects) -> void;
+    auto log_outcome(const serving::service_name& name,
+                     const stage_service& service, const waiting_work& work,
+                     const dispatch::stage_outcome& outcome) -> void;
+
+    event::loop& owner;
+    const dispatch::serving_state& known;
+    http1::client_pool& pool;
+    event_log& log;
+    std::function<void()> schedule;
+    std::map<serving::service_name, std::shared_ptr<stage_service>> services;
+};
+
+} // namespace almondtiller::gateway
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -49,7 +49,8 @@
         running.settings = gateway_world::make_settings(
             "n" + std::to_string(this->nodes.size()), zone,
             this->world.store.address());
-        running.log = std::make_unique<event_log>(this->world.loop, this->sink,
+        running.log = std::make_unique<event_log>(this->world.loop,
+                                                  this->world.clock, this->sink,
                                                   running.settings.node.str());
         running.metrics = std::make_unique<core::metrics_registry>();
         running.process = std::make_unique<node>(
