Place first what can still be on time

Cause: where model engines bind, requests waited for a place by due time alone, so that those that were late already went before all others and made them late in turn, as stage work did.

--- a/src/libs/dispatch/placement.cpp
+++ b/src/libs/dispatch/placement.cpp
@@ -190,12 +190,28 @@
     this->placed[request.ticket] = run;
 }
 
+auto placement::least_ms(const placement_request& request) const -> double
+{
+    if (!this->service.model) {
+        return plain_ms;
+    }
+    // The last part is the request's own, no upstream has read it.
+    return request.prompt.empty()
+               ? 0.0
+               : double(request.prompt.back().tokens) / prefill_tokens_per_ms;
+}
+
 auto placement::next(core::time_point now) -> std::vector<placement_outcome>
 {
+    // What will be late anyway must not make late what can still be on time.
+    const auto rank = [this, now](const placement_request& request) {
+        const auto is_late =
+            milliseconds_of(request.due - now) < this->least_ms(request);
+        return std::tuple(is_late, request.priority, request.due);
+    };
     std::stable_sort(this->queue.begin(), this->queue.end(),
-                     [](const auto& left, const auto& right) {
-                         return std::tie(left.priority, left.due) <
-                                std::tie(right.priority, right.due);
+                     [&rank](const auto& left, const auto& right) {
+                         return rank(left) < rank(right);
                      });
     auto outcomes = std::vector<placement_outcome>();
     auto waiting = std::vector<placement_request>();
--- a/src/libs/dispatch/placement.h
+++ b/src/libs/dispatch/placement.h
@@ -141,6 +141,9 @@
     [[nodiscard]] auto cost(const upstream_state& state,
                             const placement_request& request,
                             core::time_point now) const -> double;
+    /// \return Milliseconds that an idle upstream takes at least.
+    [[nodiscard]] auto least_ms(const placement_request& request) const
+        -> double;
     auto choose(const placement_request& request, core::time_point now)
         -> upstream_state*;
     auto place(const placement_request& request, upstream_state& state,
--- a/tests/unit/dispatch/placement_test.cpp
+++ b/tests/unit/dispatch/placement_test.cpp
@@ -124,6 +124,26 @@
     EXPECT_EQ(this->places.waiting(), std::size_t(40 - granted));
 }
 
+// Load pattern: a burst that leaves requests waiting past their due time.
+TEST_F(placement_test, what_is_late_waits_for_what_can_be_on_time)
+{
+    this->places.set_upstreams({known("a", "za", 1)});
+    this->places.submit(this->request(1, "s"), this->now);
+    ASSERT_EQ(this->places.next(this->now).size(), 1U);
+    this->places.submit(this->request(2, "s"), this->now);
+    this->now += milliseconds(1500);
+    this->places.submit(this->request(3, "s"), this->now);
+    EXPECT_TRUE(this->places.next(this->now).empty());
+    this->places.on_ended(1, work_end::completed, this->now);
+    const auto next = this->places.next(this->now);
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].ticket, 3U);
+    this->places.on_ended(3, work_end::completed, this->now);
+    const auto last = this->places.next(this->now);
+    ASSERT_EQ(last.size(), 1U) << "late work is served when nothing else waits";
+    EXPECT_EQ(last[0].ticket, 2U);
+}
+
 TEST_F(placement_test, requests_of_a_lost_upstream_list_are_refused)
 {
     this->places.set_upstreams({});
