Free nothing that a node's answers still reach; hold the ports of tests

Two findings of one run of the whole-path tests beside load (10 tests a time, eight repeats, six at once). - 'Address already in use' at a node's start: the stand-in's free port was closed before the node listened, and an outgoing connection of the same test got it. The port is now held by a bound socket that never listens. - Corrupted memory in a_lost_owner_is_replaced: answers of peers and the dispatcher's pump were posted to the loop with a bare pointer to a node that the test had destroyed. The mesh now closes for good with its node, and the pump runs from a timer.

--- a/src/services/gateway/dispatcher.cpp
+++ b/src/services/gateway/dispatcher.cpp
@@ -13,9 +13,11 @@
 
 dispatcher::dispatcher(event::loop& loop, const dispatch::serving_state& state,
                        http1::client_pool& calls, event_log& lines,
+                       flow_metrics& counters,
                        dispatch::placement_limits limits)
     : owner(loop),
-      stages(loop, state, calls, lines, [this]() { this->schedule(); }),
+      stages(loop, state, calls, lines, counters,
+             [this]() { this->schedule(); }),
       placements(loop, state, lines, limits, [this]() { this->schedule(); }),
       ticker(loop, [this]() { this->pump(); })
 {}
@@ -30,7 +32,7 @@
 auto dispatcher::schedule() -> void
 {
     if (!std::exchange(this->is_scheduled, true)) {
-        this->owner.post([this]() { this->pump(); });
+        this->ticker.start(core::milliseconds(0));
     }
 }
 
@@ -86,6 +88,18 @@
     this->placements.report(message);
 }
 
+auto dispatcher::loads() const -> std::vector<service_load>
+{
+    auto by_service = std::map<serving::service_name, service_load>();
+    this->stages.add_loads(by_service);
+    this->placements.add_loads(by_service);
+    auto loads = std::vector<service_load>();
+    for (const auto& [name, load] : by_service) {
+        loads.push_back(load);
+    }
+    return loads;
+}
+
 auto dispatcher::drop_origin(const core::node_id& origin) -> void
 {
     this->placements.drop_origin(origin);
--- a/src/services/gateway/dispatcher.h
+++ b/src/services/gateway/dispatcher.h
@@ -14,7 +14,7 @@
     using place_done = placement_dispatcher::place_done;
 
     dispatcher(event::loop& owner, const dispatch::serving_state& known,
-               http1::client_pool& calls, event_log& log,
+               http1::client_pool& calls, event_log& log, flow_metrics& metrics,
                dispatch::placement_limits limits);
 
     /// The configuration or the upstreams have changed.
@@ -39,6 +39,10 @@
     /// A node is gone, and with it the requests that it had sent.
     auto drop_origin(const core::node_id& origin) -> void;
 
+    /// \return What waits and runs at the services that were asked of this
+    ///         node.
+    [[nodiscard]] auto loads() const -> std::vector<service_load>;
+
 private:
     auto schedule() -> void;
     auto pump() -> void;
--- a/src/services/gateway/flow_metrics.cpp
+++ b/src/services/gateway/flow_metrics.cpp
@@ -18,6 +18,22 @@
 constexpr auto latency_info = core::metric_info{
     "almondtiller_gateway_latency_seconds", metric_kind::histogram,
     "Seconds from the reading of a request to the end of its answer."};
+constexpr auto stage_info = core::metric_info{
+    "almondtiller_gateway_stage_seconds", metric_kind::histogram,
+    "Seconds from the owner's receipt of stage work to its end, by service."};
+
+auto text_of(serving::route_kind kind) -> std::string
+{
+    switch (kind) {
+    case serving::route_kind::idempotent:
+        return "idempotent";
+    case serving::route_kind::non_idempotent:
+        return "non_idempotent";
+    case serving::route_kind::streaming:
+        return "streaming";
+    }
+    return "unknown";
+}
 
 } // namespace
 
@@ -46,16 +62,23 @@
 }
 
 auto flow_metrics::record_latency(std::string_view outcome,
+                                  serving::route_kind kind,
                                   core::duration latency) -> void
 {
     this->registry
-        .histogram_for(latency_info, {{"outcome", std::string(outcome)}})
+        .histogram_for(latency_info, {{"outcome", std::string(outcome)},
+                                      {"kind", text_of(kind)}})
         .record(latency);
 }
 
-auto flow_metrics::expose() const -> std::string
+auto flow_metrics::record_stage(const serving::service_name& service,
+                                std::string_view outcome, core::duration time)
+    -> void
 {
-    return this->registry.expose();
+    this->registry
+        .histogram_for(stage_info, {{"service", service.str()},
+                                    {"outcome", std::string(outcome)}})
+        .record(time);
 }
 
 } // namespace almondtiller::gateway
--- a/src/services/gateway/flow_metrics.h
+++ b/src/services/gateway/flow_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/metrics.h"
+#include "serving/configuration.h"
 
 #include <string_view>
 
@@ -16,10 +17,12 @@
     auto count_outcome(std::string_view outcome, std::string_view reason)
         -> void;
     auto count_repeat(std::string_view reason) -> void;
-    auto record_latency(std::string_view outcome, core::duration latency)
-        -> void;
+    auto record_latency(std::string_view outcome, serving::route_kind kind,
+                        core::duration latency) -> void;
 
-    [[nodiscard]] auto expose() const -> std::string;
+    /// Stage work of a service that this node owns has ended.
+    auto record_stage(const serving::service_name& service,
+                      std::string_view outcome, core::duration time) -> void;
 
 private:
     core::metrics_registry& registry;
--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -9,10 +9,10 @@
 
 namespace almondtiller::gateway {
 
-auto node::state::own_entry() -> adapter::node_entry
+auto node::state::own_entry() const -> adapter::node_entry
 {
     return {this->settings.node, this->settings.zone, this->settings.peers,
-            this->random.hex_id()};
+            this->incarnation};
 }
 
 auto node::state::own_status() const -> node_status
@@ -26,6 +26,24 @@
     return {this->settings.cores, this->settings.link_mbps};
 }
 
+auto node::state::view() const -> node_view
+{
+    auto view = node_view();
+    view.is_ready = this->is_ready;
+    const auto peers = this->mesh.peers();
+    view.peers_alive = std::size_t(
+        std::count_if(peers.begin(), peers.end(),
+                      [](const auto& peer) { return peer.is_alive; }));
+    view.requests_in_flight = std::size_t(
+        std::count_if(this->flows.begin(), this->flows.end(),
+                      [](const auto& flow) { return !flow.expired(); }));
+    view.upstream_connections = this->pool.opened();
+    view.log_lines_dropped = this->log.dropped();
+    view.services = this->local.loads();
+    view.store = this->follower.views();
+    return view;
+}
+
 auto node::state::on_known_changed() -> void
 {
     this->local.refresh();
@@ -66,6 +84,9 @@
 {
     const auto status = decode_status(text);
     if (!status) {
+        this->log.write(
+            severity::notice, "peer_status_unreadable",
+            {{"peer", peer.str()}, {"error", status.error().message()}});
         return;
     }
     auto& kept = this->peer_status[peer];
--- a/src/services/gateway/node_front.cpp
+++ b/src/services/gateway/node_front.cpp
@@ -103,8 +103,9 @@
     const std::shared_ptr<http1::exchange>& exchange) -> void
 {
     static_cast<void>(message);
+    update_metrics(this->registry, this->view(), this->known);
     exchange->respond(ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-                      this->metrics.expose());
+                      this->registry.expose());
 }
 
 auto node::state::on_directory_request(
@@ -131,10 +132,12 @@
         exchange->respond(unavailable, {}, "");
         return;
     }
-    exchange->respond(ok, {{"Content-Type", "application/json"}},
-                      adapter::encode_directory_answer(
-                          choose_fronts(std::move(ready), question->zone),
-                          directory_lifetime));
+    exchange->respond(
+        ok, {{"Content-Type", "application/json"}},
+        adapter::encode_directory_answer(
+            choose_fronts(std::move(ready), question->zone),
+            std::min(directory_lifetime,
+                     core::milliseconds(this->settings.max_directory_ttl))));
 }
 
 auto node::state::reject(const std::shared_ptr<http1::exchange>& exchange,
--- /dev/null
+++ b/src/services/gateway/node_metrics.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "dispatch/serving_state.h"
+#include "services/gateway/event_log.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace almondtiller::gateway {
+
+/// What waits and runs at the owner of a service.
+struct service_load
+{
+    serving::service_name service;
+    std::size_t stage_pieces_waiting = 0;
+    /// Until new stage work would begin to be done.
+    core::duration stage_wait{0};
+    std::size_t placements_waiting = 0;
+    std::size_t requests_running = 0;
+
+    auto operator==(const service_load&) const -> bool = default;
+};
+
+/// What a node knows of one kind of the store's objects.
+struct store_view
+{
+    std::string_view kind;
+    std::int64_t revision = 0;
+    bool is_connected = false;
+    std::uint64_t calls = 0;
+
+    auto operator==(const store_view&) const -> bool = default;
+};
+
+/// State of a node at one moment, for its metrics.
+struct node_view
+{
+    bool is_ready = false;
+    std::size_t requests_in_flight = 0;
+    std::size_t peers_alive = 0;
+    std::uint64_t upstream_connections = 0;
+    std::uint64_t log_lines_dropped = 0;
+    std::vector<service_load> services;
+    std::vector<store_view> store;
+};
+
+/// Writes a node's state into its metrics; called before each exposition.
+auto update_metrics(core::metrics_registry& registry, const node_view& view,
+                    const dispatch::serving_state& known) -> void;
+
+} // namespace almondtiller::gateway
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -36,9 +36,12 @@
     event::loop& owner;
     serving::node_settings settings;
     event_log& log;
+    core::metrics_registry& registry;
     flow_metrics metrics;
     std::function<void()> on_stopped;
     core::random_source random{core::system_seed()};
+    /// Tells this process from earlier ones of the same node.
+    std::string incarnation{this->random.hex_id()};
     dispatch::serving_state known;
     http1::client_pool pool;
     peer_mesh mesh;
@@ -57,15 +60,16 @@
     core::time_point leave_started;
 
     state(event::loop& loop, serving::node_settings given, event_log& lines,
-          core::metrics_registry& registry, std::function<void()> stopped)
+          core::metrics_registry& all_metrics, std::function<void()> stopped)
         : owner(loop),
           settings(std::move(given)),
           log(lines),
-          metrics(registry),
+          registry(all_metrics),
+          metrics(all_metrics),
           on_stopped(std::move(stopped)),
           pool(loop),
           mesh(loop, this->own_entry(), lines),
-          local(loop, this->known, this->pool, lines,
+          local(loop, this->known, this->pool, lines, this->metrics,
                 {this->settings.retry_ratio * own_share_of_budget,
                  this->settings.retry_extra * own_share_of_budget,
                  this->settings.retry_window, this->settings.cold_factor,
@@ -79,9 +83,10 @@
           leaver(loop, [this]() { this->go_on_leaving(); })
     {}
 
-    [[nodiscard]] auto own_entry() -> adapter::node_entry;
+    [[nodiscard]] auto own_entry() const -> adapter::node_entry;
     [[nodiscard]] auto own_status() const -> node_status;
     [[nodiscard]] auto own_capacity() const -> node_capacity;
+    [[nodiscard]] auto view() const -> node_view;
     auto on_known_changed() -> void;
     auto update_ready() -> void;
     auto update_candidates() -> void;
--- a/src/services/gateway/peer_links.cpp
+++ b/src/services/gateway/peer_links.cpp
@@ -22,8 +22,11 @@
                     {{"peer", link.view.entry.node.str()},
                      {"reason", std::string(reason)}});
     if (this->changed) {
-        this->owner.post(
-            [self = this->shared_from_this()]() { self->changed(); });
+        this->owner.post([self = this->shared_from_this()]() {
+            if (self->changed) {
+                self->changed();
+            }
+        });
     }
 }
 
@@ -59,8 +62,42 @@
     if (link != this->links.end()) {
         link->second.calls.erase(call.stream);
     }
-    this->owner.post([done = std::move(call.answer),
-                      value = std::move(answer)]() { done(value); });
+    this->post_answer(std::move(call.answer), std::move(answer));
+}
+
+auto peer_mesh::state::post_answer(reply done, core::result<std::string> value)
+    -> void
+{
+    this->owner.post([self = this->shared_from_this(), done = std::move(done),
+                      value = std::move(value)]() {
+        if (!self->is_closed) {
+            done(value);
+        }
+    });
+}
+
+auto peer_mesh::state::close() -> void
+{
+    this->is_closed = true;
+    this->changed = nullptr;
+    this->status = nullptr;
+    this->sender_lost = nullptr;
+    this->status_heard = nullptr;
+    this->handlers.clear();
+    this->calls.clear();
+    this->ticker.reset();
+    this->listener.reset();
+    for (const auto& [node, link] : this->links) {
+        if (link.stream) {
+            link.stream->close();
+        }
+    }
+    this->links.clear();
+    for (const auto& connection : this->inbound) {
+        connection->is_open = false;
+        connection->stream->close();
+    }
+    this->inbound.clear();
 }
 
 auto peer_mesh::state::flush(const core::node_id& node) -> void
--- a/src/services/gateway/peer_mesh.cpp
+++ b/src/services/gateway/peer_mesh.cpp
@@ -10,7 +10,10 @@
     : data(std::make_shared<state>(owner, std::move(self), log))
 {}
 
-peer_mesh::~peer_mesh() = default;
+peer_mesh::~peer_mesh()
+{
+    this->data->close();
+}
 
 auto peer_mesh::listen() -> std::error_code
 {
@@ -94,9 +97,8 @@
 {
     const auto found = this->data->links.find(node);
     if (found == this->data->links.end()) {
-        this->data->owner.post([answer = std::move(answer)]() {
-            answer(make_error_code(fleet_errc::peer_unreachable));
-        });
+        this->data->post_answer(std::move(answer),
+                                make_error_code(fleet_errc::peer_unreachable));
         return 0;
     }
     return this->data->send(found->second, topic, std::move(body), limit,
--- a/src/services/gateway/peer_mesh_state.h
+++ b/src/services/gateway/peer_mesh_state.h
@@ -74,6 +74,7 @@
     std::function<void(const core::node_id&, const std::string&)> status_heard;
     std::uint64_t last_call = 0;
     std::unique_ptr<event::timer> ticker;
+    bool is_closed = false;
 
     state(event::loop& loop, adapter::node_entry entry, event_log& lines)
         : owner(loop), self(std::move(entry)), log(lines)
@@ -84,6 +85,10 @@
         -> void;
     auto drop_link(peer_link& link, std::string_view reason) -> void;
     auto finish(std::uint64_t id, core::result<std::string> answer) -> void;
+    auto post_answer(reply done, core::result<std::string> value) -> void;
+
+    /// Ends all connections; no hook or answer is called any more.
+    auto close() -> void;
     auto flush(const core::node_id& node) -> void;
     auto connect(peer_link& link) -> void;
     auto connected(const core::node_id& node, const core::endpoint& address,
--- a/src/services/gateway/placement_dispatcher.cpp
+++ b/src/services/gateway/placement_dispatcher.cpp
@@ -174,6 +174,17 @@
     }
 }
 
+auto placement_dispatcher::add_loads(
+    std::map<serving::service_name, service_load>& loads) const -> void
+{
+    for (const auto& [name, service] : this->services) {
+        auto& load = loads[name];
+        load.service = name;
+        load.placements_waiting = service->places.waiting();
+        load.requests_running = service->requests.size();
+    }
+}
+
 auto placement_dispatcher::report(const report_message& message) -> void
 {
     const auto found = this->services.find(message.service);
--- a/src/services/gateway/placement_dispatcher.h
+++ b/src/services/gateway/placement_dispatcher.h
@@ -3,6 +3,7 @@
 #include "dispatch/placement.h"
 #include "event/loop.h"
 #include "services/gateway/event_log.h"
+#include "services/gateway/node_metrics.h"
 #include "services/gateway/peer_messages.h"
 
 #include <functional>
@@ -42,6 +43,10 @@
     /// A node is gone, and with it the requests that it had sent.
     auto drop_origin(const core::node_id& origin) -> void;
 
+    /// Adds what waits and runs at each service to its entry in \a loads.
+    auto add_loads(std::map<serving::service_name, service_load>& loads) const
+        -> void;
+
 private:
     struct entry
     {
--- a/src/services/gateway/request_end.cpp
+++ b/src/services/gateway/request_end.cpp
@@ -83,8 +83,8 @@
     this->time_over.stop();
     this->silence.stop();
     this->shared.metrics.count_outcome(event, reason);
-    this->shared.metrics.record_latency(event, this->shared.owner.now() -
-                                                   this->accepted);
+    this->shared.metrics.record_latency(
+        event, this->route.kind, this->shared.owner.now() - this->accepted);
     this->shared.log.write(
         level, event,
         {{"request", this->request.id.str()},
--- a/src/services/gateway/stage_dispatcher.cpp
+++ b/src/services/gateway/stage_dispatcher.cpp
@@ -39,11 +39,13 @@
 stage_dispatcher::stage_dispatcher(event::loop& loop,
                                    const dispatch::serving_state& state,
                                    http1::client_pool& calls, event_log& lines,
+                                   flow_metrics& counters,
                                    std::function<void()> ask_for_pump)
     : owner(loop),
       known(state),
       pool(calls),
       log(lines),
+      metrics(counters),
       schedule(std::move(ask_for_pump))
 {}
 
@@ -243,6 +245,8 @@
 {
     const auto now = this->owner.now();
     const auto is_done = outcome.status == dispatch::stage_status::done;
+    this->metrics.record_stage(name, text_of(outcome.status),
+                               now - work.submitted);
     this->log.write(
         is_done ? severity::detail : severity::failure,
         is_done ? "stage_done" : "stage_refused",
@@ -256,6 +260,17 @@
          {"upstreams", std::to_string(this->known.usable(name).size())}});
 }
 
+auto stage_dispatcher::add_loads(
+    std::map<serving::service_name, service_load>& loads) const -> void
+{
+    for (const auto& [name, service] : this->services) {
+        auto& load = loads[name];
+        load.service = name;
+        load.stage_pieces_waiting = service->queue.waiting_pieces();
+        load.stage_wait = service->queue.estimated_wait(this->owner.now());
+    }
+}
+
 auto stage_dispatcher::free_results(const serving::service_name& name,
                                     const std::vector<std::string>& handles)
     -> void
--- a/src/services/gateway/stage_dispatcher.h
+++ b/src/services/gateway/stage_dispatcher.h
@@ -5,6 +5,8 @@
 #include "event/timer.h"
 #include "http1/client_pool.h"
 #include "services/gateway/event_log.h"
+#include "services/gateway/flow_metrics.h"
+#include "services/gateway/node_metrics.h"
 
 #include <functional>
 #include <map>
@@ -22,7 +24,7 @@
     /// \param schedule Asks for a call of pump() soon.
     stage_dispatcher(event::loop& owner, const dispatch::serving_state& known,
                      http1::client_pool& calls, event_log& log,
-                     std::function<void()> schedule);
+                     flow_metrics& metrics, std::function<void()> schedule);
 
     /// The configuration or the upstreams have changed.
     auto refresh() -> void;
@@ -40,6 +42,10 @@
     auto free_results(const serving::service_name& service,
                       const std::vector<std::string>& handles) -> void;
 
+    /// Adds what waits at each service to its entry in \a loads.
+    auto add_loads(std::map<serving::service_name, service_load>& loads) const
+        -> void;
+
 private:
     struct waiting_work
     {
@@ -71,6 +77,7 @@
     const dispatch::serving_state& known;
     http1::client_pool& pool;
     event_log& log;
+    flow_metrics& metrics;
     std::function<void()> schedule;
     std::map<serving::service_name, std::shared_ptr<stage_service>> services;
 };
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -146,6 +146,16 @@
     return numbers;
 }
 
+auto store_follower::views() const -> std::vector<store_view>
+{
+    auto views = std::vector<store_view>();
+    for (const auto& mirror : this->mirrors) {
+        views.push_back({text_of(mirror->kind()), mirror->revision(),
+                         mirror->is_connected(), mirror->calls_made()});
+    }
+    return views;
+}
+
 auto store_follower::is_complete() const -> bool
 {
     using adapter::object_kind;
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/serving_state.h"
+#include "services/gateway/node_metrics.h"
 #include "services/gateway/peer_mesh.h"
 #include "services/gateway/peer_messages.h"
 #include "services/gateway/store_mirror.h"
@@ -28,6 +29,9 @@
     /// \return The revision of each kind, by object_kind.
     [[nodiscard]] auto revisions() const -> std::vector<std::int64_t>;
 
+    /// \return What is known of each kind of object, for metrics.
+    [[nodiscard]] auto views() const -> std::vector<store_view>;
+
     /// A peer has said which revisions it has.
     auto on_peer_revisions(const core::node_id& peer,
                            const std::vector<std::int64_t>& revisions) -> void;
--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -21,6 +21,21 @@
 
 } // namespace
 
+auto text_of(adapter::object_kind kind) -> std::string_view
+{
+    switch (kind) {
+    case adapter::object_kind::configurations:
+        return "configurations";
+    case adapter::object_kind::upstreams:
+        return "upstreams";
+    case adapter::object_kind::evacuations:
+        return "evacuations";
+    case adapter::object_kind::nodes:
+        return "nodes";
+    }
+    return "unknown";
+}
+
 store_mirror::store_mirror(event::loop& loop, http1::client_pool& calls,
                            core::endpoint address, adapter::object_kind kind,
                            core::milliseconds between, event_log& lines,
@@ -141,7 +156,7 @@
     if (error == adapter::adapter_errc::history_gone) {
         this->must_list = true;
         this->log.write(severity::notice, "store_history_gone",
-                        {{"kind", std::to_string(int(this->object_kind))},
+                        {{"kind", std::string(text_of(this->object_kind))},
                          {"revision", std::to_string(this->current_revision)}});
         this->read();
         return;
@@ -225,7 +240,7 @@
         return;
     }
     this->log.write(severity::notice, "store_following",
-                    {{"kind", std::to_string(int(this->object_kind))},
+                    {{"kind", std::string(text_of(this->object_kind))},
                      {"follows", wanted ? "yes" : "no"},
                      {"revision", std::to_string(this->current_revision)}});
     if (wanted) {
@@ -252,7 +267,7 @@
     this->must_probe = true;
     if (std::exchange(this->connected, false) || this->failures == 0) {
         this->log.write(severity::notice, "store_lost",
-                        {{"kind", std::to_string(int(this->object_kind))},
+                        {{"kind", std::string(text_of(this->object_kind))},
                          {"reason", std::string(reason)},
                          {"status", std::to_string(status)},
                          {"revision", std::to_string(this->current_revision)}});
@@ -272,7 +287,7 @@
     this->failures = 0;
     if (!std::exchange(this->connected, true)) {
         this->log.write(severity::notice, "store_regained",
-                        {{"kind", std::to_string(int(this->object_kind))},
+                        {{"kind", std::string(text_of(this->object_kind))},
                          {"revision", std::to_string(this->current_revision)}});
     }
 }
@@ -281,7 +296,7 @@
 {
     if (entries > 0) {
         this->log.write(severity::notice, "store_entries_unreadable",
-                        {{"kind", std::to_string(int(this->object_kind))},
+                        {{"kind", std::string(text_of(this->object_kind))},
                          {"entries", std::to_string(entries)}});
     }
 }
--- a/src/services/gateway/store_mirror.h
+++ b/src/services/gateway/store_mirror.h
@@ -14,6 +14,9 @@
 
 namespace almondtiller::gateway {
 
+/// \return The kind's name in log lines and metrics.
+[[nodiscard]] auto text_of(adapter::object_kind kind) -> std::string_view;
+
 /// The objects of one kind, kept up to date by a list and watches. Goes on
 /// with what it has while the store is away, and never back to an older
 /// revision.
--- a/src/services/gateway/store_snapshots.cpp
+++ b/src/services/gateway/store_snapshots.cpp
@@ -66,19 +66,29 @@
     auto& mirror = *this->mirrors[kind];
     const auto had = mirror.revision();
     const auto text = std::string_view(body).substr(1);
+    const auto log_unreadable = [this, &peer, &mirror](std::error_code error) {
+        this->log.write(severity::notice, "snapshot_unreadable",
+                        {{"peer", peer.str()},
+                         {"kind", std::string(text_of(mirror.kind()))},
+                         {"error", error.message()}});
+    };
     if (body.front() == changes_mark) {
         if (const auto changes = adapter::decode_changes(text)) {
             mirror.adopt_changes(changes.value());
+        } else {
+            log_unreadable(changes.error());
         }
     } else if (auto page = adapter::decode_page(text)) {
         mirror.adopt(page.value().revision, std::move(page.value().objects));
+    } else {
+        log_unreadable(page.error());
     }
     if (mirror.revision() == had) {
         return;
     }
     this->log.write(severity::notice, "adopted_from_peer",
                     {{"peer", peer.str()},
-                     {"kind", std::to_string(kind)},
+                     {"kind", std::string(text_of(mirror.kind()))},
                      {"revision", std::to_string(mirror.revision())},
                      {"had", std::to_string(had)}});
     if (mirror.is_following()) {
--- a/tests/fakes/gateway_world/world.cpp
+++ b/tests/fakes/gateway_world/world.cpp
@@ -42,18 +42,51 @@
 
 } // namespace
 
+namespace {
+
+/// Sockets that are bound and never listen, until the process ends: the
+/// system gives their ports to no outgoing connection meanwhile, and a server
+/// that reuses addresses can still listen on them.
+class reserved_ports
+{
+public:
+    reserved_ports() = default;
+    reserved_ports(const reserved_ports&) = delete;
+    auto operator=(const reserved_ports&) -> reserved_ports& = delete;
+    ~reserved_ports()
+    {
+        for (const auto descriptor : this->descriptors) {
+            close(descriptor);
+        }
+    }
+
+    auto add() -> std::uint16_t
+    {
+        const auto descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const auto reuse = 1;
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+        auto address = sockaddr_in();
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        static_cast<void>(::bind(descriptor,
+                                 reinterpret_cast<sockaddr*>(&address),
+                                 sizeof(address)));
+        auto size = socklen_t(sizeof(address));
+        getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+        this->descriptors.push_back(descriptor);
+        return ntohs(address.sin_port);
+    }
+
+private:
+    std::vector<int> descriptors;
+};
+
+} // namespace
+
 auto free_port() -> std::uint16_t
 {
-    const auto descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    auto address = sockaddr_in();
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    static_cast<void>(::bind(descriptor, reinterpret_cast<sockaddr*>(&address),
-                             sizeof(address)));
-    auto size = socklen_t(sizeof(address));
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    close(descriptor);
-    return ntohs(address.sin_port);
+    static auto ports = reserved_ports();
+    return ports.add();
 }
 
 auto make_settings(const std::string& node, const std::string& zone,
--- a/tests/fakes/gateway_world/world.h
+++ b/tests/fakes/gateway_world/world.h
@@ -12,7 +12,8 @@
 
 namespace almondtiller::gateway_world {
 
-/// A free port of the loopback address.
+/// \return A port of the loopback address that is kept free for one server of
+///         this test, here or in a process that it starts.
 [[nodiscard]] auto free_port() -> std::uint16_t;
 
 /// \return Settings of a node in a zone, all on loopback.
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -56,7 +56,8 @@
         running.process = std::make_unique<node>(
             this->world.loop, running.settings, *running.log, *running.metrics,
             [&running]() { running.has_stopped = true; });
-        EXPECT_FALSE(running.process->start());
+        const auto error = running.process->start();
+        EXPECT_FALSE(error) << error.message();
         this->nodes.push_back(std::move(made));
         return running;
     }
@@ -88,7 +89,9 @@
         }
     }
 
-    auto directory_answer(const running_node& running) -> std::string
+    /// \return The body that an address of a node answers with.
+    auto read_page(const core::endpoint& address, const std::string& target)
+        -> std::string
     {
         auto body = std::string();
         auto is_done = false;
@@ -99,15 +102,34 @@
         hooks.on_done = [&is_done](auto, bool) {
             is_done = true;
         };
-        this->pool.call({core::to_text(running.settings.directory),
-                         running.settings.directory},
-                        "GET /almondtiller/resolve?name=api.example&zone=a "
-                        "HTTP/1.1\r\nHost: n\r\n\r\n",
-                        {}, std::move(hooks));
+        this->pool.call({core::to_text(address), address},
+                        "GET " + target + " HTTP/1.1\r\nHost: n\r\n\r\n", {},
+                        std::move(hooks));
         this->world.run_until([&is_done]() { return is_done; });
         return body;
     }
 
+    auto directory_answer(const running_node& running) -> std::string
+    {
+        return this->read_page(running.settings.directory,
+                               "/almondtiller/resolve?name=api.example&zone=a");
+    }
+
+    /// \return The sum of a metric's series over all nodes.
+    auto metric(const std::string& series) -> double
+    {
+        auto sum = 0.0;
+        for (const auto& running : this->nodes) {
+            const auto page =
+                "\n" + this->read_page(running->settings.metrics, "/metrics");
+            const auto at = page.find("\n" + series + " ");
+            if (at != std::string::npos) {
+                sum += std::stod(page.substr(at + series.size() + 2));
+            }
+        }
+        return sum;
+    }
+
     auto ask(const std::string& path, std::size_t at = 0,
              const std::string& key = "key") -> const call_record&
     {
@@ -160,6 +182,34 @@
     this->expect_no_faults();
 }
 
+TEST_F(whole_path_test, counts_what_it_does_and_what_it_believes)
+{
+    EXPECT_EQ(this->ask("staged").status, 200);
+    EXPECT_EQ(this->ask("read", 1).status, 200);
+    EXPECT_EQ(this->ask("unknown", 2).status, 404);
+    const auto name = std::string("almondtiller_gateway_");
+    EXPECT_EQ(this->metric(name + "ready"), 3);
+    EXPECT_EQ(this->metric(name + "peers_alive"), 6);
+    EXPECT_EQ(this->metric(name + "configuration_version"), 3);
+    EXPECT_EQ(this->metric(name + "requests_in_flight"), 0);
+    EXPECT_EQ(this->metric(name + "usable_upstreams{service=\"model\"}"), 12);
+    EXPECT_EQ(this->metric(name + "store_connected{kind=\"upstreams\"}"), 3);
+    EXPECT_GE(this->metric(name + "store_calls_total{kind=\"upstreams\"}"), 3);
+    EXPECT_EQ(this->metric(name + "outcomes_total{outcome=\"answered\","
+                                  "reason=\"success\"}"),
+              2);
+    EXPECT_EQ(this->metric(name + "outcomes_total{outcome=\"rejected\","
+                                  "reason=\"no_route\"}"),
+              1);
+    EXPECT_EQ(this->metric(name + "latency_seconds_count{outcome=\"answered\","
+                                  "kind=\"streaming\"}"),
+              1);
+    EXPECT_EQ(this->metric(name + "stage_seconds_count{service=\"feed\","
+                                  "outcome=\"done\"}"),
+              1);
+    EXPECT_EQ(this->metric(name + "stage_pieces_waiting{service=\"feed\"}"), 0);
+}
+
 TEST_F(whole_path_test, rejects_what_the_configuration_does_not_allow)
 {
     EXPECT_EQ(this->ask("unknown").status, 404);
