Find a missed configuration by its version

Cause: revisions, which nodes compare with their heartbeats, grow with changes of all kinds. A node that has missed a configuration and goes on with a later revision counted as up to date until the next one; and a node with a watch of its own never asked a peer while any other peer knew as little as it did.

Heartbeats now carry the version in force; a node that is behind asks for all of the configuration. How long a node has been behind counts from when it first heard of more. The whole-path test mutes the store's watches for one change.

--- a/src/services/gateway/fetch_pace.cpp
+++ b/src/services/gateway/fetch_pace.cpp
@@ -4,20 +4,20 @@
 
 namespace almondtiller::gateway {
 
-auto fetch_pace::on_equal(core::time_point now) -> void
+auto fetch_pace::should_ask(std::int64_t own, bool follows,
+                            core::time_point now) -> bool
 {
-    this->settled = now;
-}
-
-auto fetch_pace::should_ask(bool follows, core::time_point now) -> bool
-{
-    // An own watch mostly brings the change by itself.
+    if (this->had != own) {
+        this->had = own;
+        this->behind_since = now;
+    }
+    // An own watch mostly brings the change by itself. Other peers that know
+    // no more either don't make the node any less behind.
     const auto patience = follows ? silent_watch : core::milliseconds(0);
     const auto waits = this->is_asking && now - this->asked < snapshot_patience;
-    if (waits || now - this->settled < patience) {
+    if (waits || now - this->behind_since < patience) {
         return false;
     }
-    this->settled = now;
     this->asked = now;
     this->is_asking = true;
     return true;
--- a/src/services/gateway/fetch_pace.h
+++ b/src/services/gateway/fetch_pace.h
@@ -2,6 +2,9 @@
 
 #include "core/clock.h"
 
+#include <cstdint>
+#include <optional>
+
 namespace almondtiller::gateway {
 
 /// Decides when a node asks a peer for what it lacks of one kind of object.
@@ -10,20 +13,20 @@
 class fetch_pace
 {
 public:
-    /// A peer has said that it knows nothing newer.
-    auto on_equal(core::time_point now) -> void;
-
     /// A peer has said that it knows more.
+    /// \param own The revision or version that this node has.
     /// \param follows The node watches the store itself.
     /// \return Whether to ask that peer now; it counts as asked then.
-    auto should_ask(bool follows, core::time_point now) -> bool;
+    auto should_ask(std::int64_t own, bool follows, core::time_point now)
+        -> bool;
 
     /// A peer that was asked has answered or failed to.
     auto on_answer() -> void;
 
 private:
-    /// When this node last was up to date or asked.
-    core::time_point settled;
+    /// What this node had when it first heard of more.
+    std::optional<std::int64_t> had;
+    core::time_point behind_since;
     core::time_point asked;
     bool is_asking = false;
 };
--- a/src/services/gateway/follower_limits.h
+++ b/src/services/gateway/follower_limits.h
@@ -11,6 +11,8 @@
 /// knows more is asked as well: far above a round trip between zones, far
 /// below the time in which a configuration must be in force.
 inline constexpr auto snapshot_patience = core::milliseconds(250);
+/// Asks for all objects instead of those that changed since a revision.
+inline constexpr auto whole_list = std::int64_t(-1);
 /// First byte of a snapshot's answer.
 inline constexpr auto changes_mark = 'c';
 inline constexpr auto page_mark = 'p';
--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -17,8 +17,12 @@
 
 auto node::state::own_status() const -> node_status
 {
-    return {this->is_ready, this->settings.front, this->settings.zone,
-            this->own_capacity(), this->follower.revisions()};
+    return {this->is_ready,
+            this->settings.front,
+            this->settings.zone,
+            this->own_capacity(),
+            this->follower.revisions(),
+            this->known.config() ? this->known.config()->version : 0};
 }
 
 auto node::state::own_capacity() const -> node_capacity
@@ -96,6 +100,7 @@
         this->update_candidates();
     }
     this->follower.on_peer_revisions(peer, kept.revisions);
+    this->follower.on_peer_configuration(peer, kept.configuration);
 }
 
 auto node::state::start() -> std::error_code
--- a/src/services/gateway/peer_messages.cpp
+++ b/src/services/gateway/peer_messages.cpp
@@ -125,9 +125,10 @@
 
 auto encode(const node_status& status) -> std::string
 {
-    return pack(json::array(
-        {status.is_ready, core::to_text(status.front), status.zone.str(),
-         status.revisions, status.capacity.cores, status.capacity.link_mbps}));
+    return pack(
+        json::array({status.is_ready, core::to_text(status.front),
+                     status.zone.str(), status.revisions, status.capacity.cores,
+                     status.capacity.link_mbps, status.configuration}));
 }
 
 auto decode_status(std::string_view body) -> core::result<node_status>
@@ -140,6 +141,7 @@
         status.revisions = value.at(3).get<std::vector<std::int64_t>>();
         status.capacity.cores = value.at(4).get<double>();
         status.capacity.link_mbps = value.at(5).get<double>();
+        status.configuration = value.at(6).get<std::int64_t>();
         return status;
     });
 }
--- a/src/services/gateway/peer_messages.h
+++ b/src/services/gateway/peer_messages.h
@@ -29,6 +29,8 @@
     node_capacity capacity;
     /// The store's revision of each kind that it has, by object_kind.
     std::vector<std::int64_t> revisions;
+    /// Version of the configuration in force, 0 before the first.
+    std::int64_t configuration = 0;
 
     auto operator==(const node_status&) const -> bool = default;
 };
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -37,6 +37,12 @@
     auto on_peer_revisions(const core::node_id& peer,
                            const std::vector<std::int64_t>& revisions) -> void;
 
+    /// A peer has said which configuration it has in force. Revisions alone
+    /// don't tell a node that it has missed one: they also grow with changes
+    /// of other objects.
+    auto on_peer_configuration(const core::node_id& peer, std::int64_t version)
+        -> void;
+
     /// \param watchers The nodes that ask the store for all; empty: each for
     ///        itself.
     auto set_watchers(std::vector<core::node_id> watchers) -> void;
@@ -63,7 +69,8 @@
     auto take_upstream(const adapter::stored_object& object) -> bool;
     auto on_evacuations() -> void;
     auto on_nodes() -> void;
-    auto fetch_from(const core::node_id& peer, std::size_t kind) -> void;
+    auto fetch_from(const core::node_id& peer, std::size_t kind,
+                    std::int64_t since) -> void;
     auto put_entry(bool exists) -> void;
     auto update_following() -> void;
     [[nodiscard]] auto encode_since(std::size_t kind,
@@ -80,6 +87,7 @@
     std::function<void()> changed;
     std::array<std::unique_ptr<store_mirror>, kinds> mirrors;
     std::array<fetch_pace, kinds> paces;
+    fetch_pace configuration_pace;
     adapter::node_entry own;
     std::uint64_t watches = 0;
     std::vector<core::node_id> watchers;
--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -305,7 +305,7 @@
                          std::vector<adapter::stored_object> objects) -> bool
 {
     if (newer <= this->current_revision && this->listed) {
-        return false;
+        return this->adopt_newer(std::move(objects));
     }
     this->current.clear();
     for (auto& object : objects) {
@@ -319,6 +319,22 @@
     return true;
 }
 
+auto store_mirror::adopt_newer(std::vector<adapter::stored_object> objects)
+    -> bool
+{
+    auto missed = adapter::object_changes();
+    missed.revision = this->current_revision;
+    for (auto& object : objects) {
+        // Objects that are not known here may have been removed since.
+        const auto known = this->current.find(object.name);
+        if (known != this->current.end() &&
+            known->second.revision < object.revision) {
+            missed.changes.push_back({std::move(object), false});
+        }
+    }
+    return this->apply(missed);
+}
+
 auto store_mirror::nudge(core::milliseconds patience) -> void
 {
     const auto is_silent = this->active != nullptr &&
--- a/src/services/gateway/store_mirror.h
+++ b/src/services/gateway/store_mirror.h
@@ -95,6 +95,9 @@
     auto count_unreadable(std::size_t entries) -> void;
     auto apply(const adapter::object_changes& seen) -> bool;
     auto forget_history() -> void;
+    /// Takes the objects of a list that is not newer as a whole, but holds
+    /// changes that this node has missed.
+    auto adopt_newer(std::vector<adapter::stored_object> objects) -> bool;
 
     event::loop& owner;
     http1::client_pool& pool;
--- a/src/services/gateway/store_snapshots.cpp
+++ b/src/services/gateway/store_snapshots.cpp
@@ -29,25 +29,36 @@
     for (auto kind = std::size_t(0); kind < std::min(revisions.size(), kinds);
          ++kind) {
         auto& mirror = *this->mirrors[kind];
-        auto& pace = this->paces[kind];
-        if (revisions[kind] <= mirror.revision()) {
-            pace.on_equal(now);
-        } else if (pace.should_ask(mirror.is_following(), now)) {
-            this->fetch_from(peer, kind);
+        const auto own = mirror.revision();
+        if (revisions[kind] > own &&
+            this->paces[kind].should_ask(own, mirror.is_following(), now)) {
+            this->fetch_from(peer, kind, own);
         }
     }
 }
 
-auto store_follower::fetch_from(const core::node_id& peer, std::size_t kind)
-    -> void
+auto store_follower::on_peer_configuration(const core::node_id& peer,
+                                           std::int64_t version) -> void
+{
+    const auto& in_force = this->known.config();
+    const auto own = in_force ? in_force->version : 0;
+    const auto kind = index_of(adapter::object_kind::configurations);
+    const auto follows = this->mirrors[kind]->is_following();
+    if (version > own &&
+        this->configuration_pace.should_ask(own, follows, this->owner.now())) {
+        this->fetch_from(peer, kind, whole_list);
+    }
+}
+
+auto store_follower::fetch_from(const core::node_id& peer, std::size_t kind,
+                                std::int64_t since) -> void
 {
     this->mesh.call(
         peer, snapshot_topic,
-        std::to_string(kind) + " " +
-            std::to_string(this->mirrors[kind]->revision()),
-        snapshot_limit,
-        [this, peer, kind](const core::result<std::string>& answer) {
-            this->paces[kind].on_answer();
+        std::to_string(kind) + " " + std::to_string(since), snapshot_limit,
+        [this, peer, kind, since](const core::result<std::string>& answer) {
+            (since == whole_list ? this->configuration_pace : this->paces[kind])
+                .on_answer();
             if (answer && !answer.value().empty()) {
                 this->take_snapshot(peer, kind, answer.value());
             }
@@ -59,6 +70,7 @@
 {
     auto& mirror = *this->mirrors[kind];
     const auto had = mirror.revision();
+    auto is_adopted = false;
     const auto text = std::string_view(body).substr(1);
     const auto log_unreadable = [this, &peer, &mirror](std::error_code error) {
         this->log.write(severity::notice, "snapshot_unreadable",
@@ -73,11 +85,12 @@
             log_unreadable(changes.error());
         }
     } else if (auto page = adapter::decode_page(text)) {
-        mirror.adopt(page.value().revision, std::move(page.value().objects));
+        is_adopted = mirror.adopt(page.value().revision,
+                                  std::move(page.value().objects));
     } else {
         log_unreadable(page.error());
     }
-    if (mirror.revision() == had) {
+    if (mirror.revision() == had && !is_adopted) {
         return;
     }
     this->log.write(severity::notice, "adopted_from_peer",
--- a/tests/fakes/gateway_world/fake_store.cpp
+++ b/tests/fakes/gateway_world/fake_store.cpp
@@ -68,9 +68,16 @@
     auto& object = this->objects[kind][name];
     object = {{"metadata", {{"name", name}, {"revision", this->revision}}},
               {"spec", std::move(body)}};
-    this->history.push_back(
-        {this->revision, kind, {{"removed", false}, {"object", object}}});
-    this->wake();
+    if (!this->is_muted) {
+        this->history.push_back(
+            {this->revision, kind, {{"removed", false}, {"object", object}}});
+        this->wake();
+    }
+}
+
+auto fake_store::set_muted(bool muted) -> void
+{
+    this->is_muted = muted;
 }
 
 auto fake_store::remove(const std::string& kind, const std::string& name)
--- a/tests/fakes/gateway_world/fake_store.h
+++ b/tests/fakes/gateway_world/fake_store.h
@@ -47,6 +47,9 @@
     /// Answers calls of one kind that much later.
     auto set_delay(std::string kind, core::milliseconds delay) -> void;
 
+    /// While muted, watches never hear of changes; lists show them.
+    auto set_muted(bool muted) -> void;
+
     /// Forgets the history: watches from before get 410.
     auto compact() -> void;
 
@@ -91,6 +94,7 @@
     std::int64_t revision = 1;
     std::int64_t oldest = 1;
     store_mode mode = store_mode::serves;
+    bool is_muted = false;
     std::uint64_t call_count = 0;
     std::string slow_kind;
     core::milliseconds delay{0};
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -331,6 +331,27 @@
         [this]() { return this->ask("read", 1, "later").status == 200; }));
 }
 
+// Watches never hear of a change, and go on with later revisions; only nodes
+// that start afterwards know of it.
+TEST_F(whole_path_test, a_missed_configuration_comes_from_a_peer)
+{
+    this->world.store.set_muted(true);
+    this->world.put_config({"key", "later"});
+    this->world.store.set_muted(false);
+    // Each change of the store moves all watches past what they have missed.
+    auto& late = this->add_node("b");
+    this->wait_ready(late);
+    EXPECT_EQ(this->ask("read", 3, "later").status, 200);
+    for (auto at = std::size_t(0); at < 3; ++at) {
+        EXPECT_TRUE(this->world.run_until(
+            [this, at]() {
+                return this->ask("read", at, "later").status == 200;
+            },
+            core::milliseconds(3000)))
+            << "node " << at;
+    }
+}
+
 // Nothing changes after the last list has come, and that list is empty.
 TEST_F(whole_path_test, is_ready_as_soon_as_all_lists_are_read)
 {
