Bound the numbers that entries, callers and settings bring

Cause, found by reading: numbers of entries were cast from double to whole types without a bound, which is undefined for 1e300 in a forged entry; a deadline beyond 32 bits counted as none left; a port beyond 65535 wrapped. The property test fed bytes that are hardly ever JSON and so reached no decoder.

Numbers now count as the nearest bound, ports must exist, and the property test tears a good entry.

--- a/src/libs/serving/configuration.h
+++ b/src/libs/serving/configuration.h
@@ -53,7 +53,7 @@
     std::vector<weighted_service> services;
     std::vector<stage> stages;
     std::chrono::milliseconds timeout{10000};
-    /// A later answer earns less.
+    /// Answers that begin later are late.
     std::chrono::milliseconds target_latency{1000};
     /// 0 is the most urgent.
     int priority = 0;
@@ -89,7 +89,6 @@
 struct service
 {
     service_name name;
-    std::uint32_t max_connections = 100;
     /// How long an upstream stays cold after its start.
     std::chrono::duration<double> cold_time{0};
     /// Requests a second that a cold upstream bears; 0 sets no bound.
--- a/src/libs/serving/node_settings.h
+++ b/src/libs/serving/node_settings.h
@@ -14,7 +14,6 @@
 {
     core::node_id node;
     core::zone_name zone;
-    core::region_name region;
     /// Callers' requests.
     core::endpoint front;
     /// The platform's readiness checks.
@@ -45,8 +44,6 @@
     /// own rate, and beside it.
     double cold_factor = 1;
     double cold_extra = 0;
-    /// An upstream's address may serve another service after that time.
-    std::chrono::seconds address_reuse{2};
 
     auto operator==(const node_settings&) const -> bool = default;
 };
--- a/src/libs/serving/request.h
+++ b/src/libs/serving/request.h
@@ -30,7 +30,6 @@
     /// What the caller will wait, from its sending.
     std::optional<std::chrono::milliseconds> deadline;
     std::string api_key;
-    std::uint32_t prompt_tokens = 0;
     std::uint32_t max_output_tokens = 0;
     /// The caller's guess of the output; 0 if none.
     std::uint32_t expected_output_tokens = 0;
--- a/tests/unit/adapter/adapter_test.cpp
+++ b/tests/unit/adapter/adapter_test.cpp
@@ -79,6 +79,16 @@
     EXPECT_EQ(parse_settings("").error, adapter_errc::setting_missing);
 }
 
+TEST(settings_file, takes_only_ports_that_exist)
+{
+    for (const auto* range : {"[0,10]", "[65535,65535]", "[70000,70010]"}) {
+        const auto outcome =
+            parse_settings(with(settings_text, "[7000,7010]", range));
+        EXPECT_EQ(outcome.error, adapter_errc::setting_invalid) << range;
+        EXPECT_NE(outcome.detail.find("innerPortRange"), std::string::npos);
+    }
+}
+
 TEST(entries, decode_an_upstream)
 {
     const auto page = page_of(upstream_text("i-1", good_body));
@@ -140,6 +150,42 @@
         43000000U);
 }
 
+TEST(entries, bound_numbers_that_no_type_holds)
+{
+    const auto page = page_of(upstream_text(
+        "i-1", with(with(good_body, "\"slots\":4", "\"slots\":1e300"),
+                    "\"seq\":9", "\"seq\":1e300")));
+    const auto entry = decode_upstream(page.objects.front());
+    ASSERT_TRUE(entry);
+    EXPECT_EQ(entry.value().upstream.slots, 4294967295U);
+    EXPECT_GT(entry.value().beat, 0);
+    EXPECT_FALSE(is_usable_entry(with(good_body, "\"seq\":9", "\"seq\":-1")));
+}
+
+/// Changes a few bytes of an entry that is in order.
+RC_GTEST_PROP(entries, survive_a_torn_one,
+              (const std::vector<std::pair<std::uint16_t, char>>& changes))
+{
+    auto body = good_body;
+    for (const auto& [place, letter] : changes) {
+        body[place % body.size()] = letter;
+    }
+    const auto page = decode_page(R"({"items":[)" + upstream_text("i-1", body) +
+                                  R"(],"morePages":false,"asOf":7})");
+    if (!page) {
+        return;
+    }
+    for (const auto& object : page.value().objects) {
+        static_cast<void>(decode_configuration(object));
+        static_cast<void>(decode_node(object));
+        if (const auto entry = decode_upstream(object)) {
+            RC_ASSERT(entry.value().upstream.slots >= 1U);
+            RC_ASSERT(entry.value().upstream.address.port != 0);
+            RC_ASSERT(entry.value().beat >= 0);
+        }
+    }
+}
+
 RC_GTEST_PROP(entries, survive_any_bytes, (const std::string& bytes))
 {
     static_cast<void>(decode_page(bytes));
@@ -190,6 +236,16 @@
     EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
 }
 
+TEST(caller_messages, bound_numbers_that_no_type_holds)
+{
+    auto message = http1::request_message();
+    message.headers = {{"X-Almondtiller-Request-Id", "r1"},
+                       {"X-Almondtiller-Deadline-Ms", "99999999999999"}};
+    const auto request = decode_request(message);
+    ASSERT_TRUE(request);
+    EXPECT_GT(request.value().deadline, std::chrono::hours(1));
+}
+
 TEST(caller_messages, need_an_id)
 {
     EXPECT_EQ(decode_request({}).error(), adapter_errc::request_without_id);
