Leave nothing behind when a node or a pool of connections goes

Cause: the address sanitizer reported leaks at the end of the whole-path tests. A call under way holds itself by its hooks, a server connection by the request that it serves, and the timer of a node's end by its own action. A pool now cancels its calls, a node closes its connections and owns that timer.

Also: an address that is no IP number fails the call instead of going to whatever the structure held; one read buffer a thread; readiness answers only its own path.

--- a/src/libs/event/tcp_listener.cpp
+++ b/src/libs/event/tcp_listener.cpp
@@ -54,9 +54,11 @@
 auto tcp_listener::listen(const core::endpoint& address) -> std::error_code
 {
     auto numeric = sockaddr_in();
-    uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
-    auto status = uv_tcp_bind(&this->data->handle,
-                              reinterpret_cast<const sockaddr*>(&numeric), 0);
+    auto status = uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
+    if (status == 0) {
+        status = uv_tcp_bind(&this->data->handle,
+                             reinterpret_cast<const sockaddr*>(&numeric), 0);
+    }
     if (status == 0) {
         status = uv_listen(reinterpret_cast<uv_stream_t*>(&this->data->handle),
                            accept_backlog, [](uv_stream_t* server, int result) {
--- a/src/libs/event/tcp_stream.cpp
+++ b/src/libs/event/tcp_stream.cpp
@@ -16,15 +16,15 @@
 
 /// Idle time before the first keep-alive probe, and between probes. A
 /// connection that went silent must be found well inside the three seconds
-/// after which the users' bounds apply again.
+/// that a machine has to recover from a network fault.
 constexpr auto probe_idle_s = 1;
 constexpr auto probe_interval_s = 1;
 constexpr auto probe_count = 2;
 /// Unacknowledged data may stay that long before the connection fails.
 constexpr auto user_timeout_ms = 3000;
 
-/// One buffer serves every read, as reads do not overlap on a loop.
-std::array<char, 65536> read_buffer;
+/// One buffer serves every read of a thread, as reads do not overlap on a loop.
+thread_local std::array<char, 65536> read_buffer;
 
 struct write_request
 {
@@ -193,16 +193,18 @@
     });
     pending->limit->start(limit);
     auto numeric = sockaddr_in();
-    uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
-    const auto status = uv_tcp_connect(
-        &pending->request, &target->handle,
-        reinterpret_cast<const sockaddr*>(&numeric),
-        [](uv_connect_t* request, int result) {
-            auto* self = static_cast<connect_request*>(request->data);
-            finish_connect(self,
-                           result == 0 ? std::error_code() : uv_error(result));
-            delete self;
-        });
+    auto status = uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
+    if (status == 0) {
+        status = uv_tcp_connect(
+            &pending->request, &target->handle,
+            reinterpret_cast<const sockaddr*>(&numeric),
+            [](uv_connect_t* request, int result) {
+                auto* self = static_cast<connect_request*>(request->data);
+                finish_connect(self, result == 0 ? std::error_code()
+                                                 : uv_error(result));
+                delete self;
+            });
+    }
     if (status != 0) {
         owner.post([pending, status]() {
             finish_connect(pending, uv_error(status));
--- a/src/libs/http1/client_pool.cpp
+++ b/src/libs/http1/client_pool.cpp
@@ -54,6 +54,11 @@
 client_pool::~client_pool()
 {
     *this->alive = false;
+    for (const auto& call : this->started) {
+        if (const auto open = call.lock()) {
+            open->cancel();
+        }
+    }
 }
 
 auto client_pool::take_idle(const std::string& key,
@@ -81,6 +86,7 @@
     -> std::shared_ptr<pooled_call>
 {
     auto call = std::make_shared<pooled_call>();
+    this->started.push_back(call);
     if (auto kept = this->take_idle(target.key, options.longest_idle)) {
         call->connection = std::move(kept);
         this->send(call, target.key, std::move(request), options.has_no_body,
@@ -146,6 +152,8 @@
     }
     std::erase_if(this->idle,
                   [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(this->started,
+                  [](const auto& call) { return call.expired(); });
 }
 
 auto client_pool::opened() const -> std::uint64_t
--- a/src/libs/http1/client_pool.h
+++ b/src/libs/http1/client_pool.h
@@ -55,7 +55,8 @@
     bool is_over = false;
 };
 
-/// Keeps connections to servers and calls over them. Loop thread only.
+/// Keeps connections to servers and calls over them. Its end cancels the calls
+/// that are under way. Loop thread only.
 class client_pool
 {
 public:
@@ -89,6 +90,8 @@
 
     event::loop& owner;
     std::map<std::string, std::vector<idle_connection>> idle;
+    /// Calls that may be under way; ended with the pool.
+    std::vector<std::weak_ptr<pooled_call>> started;
     std::uint64_t connects = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/services/gateway/node_front.cpp
+++ b/src/services/gateway/node_front.cpp
@@ -95,6 +95,10 @@
         this->on_directory_request(message, exchange);
         return;
     }
+    if (!adapter::is_readiness_check(message)) {
+        exchange->respond(not_found, {}, "");
+        return;
+    }
     exchange->respond(this->is_ready ? ok : unavailable, {}, "");
 }
 
--- a/src/services/gateway/node_leave.cpp
+++ b/src/services/gateway/node_leave.cpp
@@ -63,10 +63,7 @@
     // What was written last must reach the callers.
     constexpr auto linger = core::milliseconds(100);
     this->leaver.stop();
-    auto last = std::make_shared<std::unique_ptr<event::timer>>();
-    *last = std::make_unique<event::timer>(
-        this->owner, [this, last]() { this->on_stopped(); });
-    (*last)->start(linger);
+    this->ender.start(linger);
 }
 
 } // namespace almondtiller::gateway
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -7,6 +7,7 @@
 #include "services/gateway/store_follower.h"
 
 #include <set>
+#include <utility>
 
 namespace almondtiller::gateway {
 
@@ -55,6 +56,7 @@
     std::map<core::node_id, node_status> peer_status;
     event::timer sweeper;
     event::timer leaver;
+    event::timer ender;
     bool is_ready = false;
     bool is_leaving = false;
     core::time_point leave_started;
@@ -80,8 +82,19 @@
           shared{loop,  this->known,   this->client, this->pool,
                  lines, this->metrics, this->random},
           sweeper(loop, [this]() { this->sweep(); }),
-          leaver(loop, [this]() { this->go_on_leaving(); })
+          leaver(loop, [this]() { this->go_on_leaving(); }),
+          ender(loop, [this]() { this->on_stopped(); })
     {}
+    ~state()
+    {
+        // Each holds itself by the request that it serves.
+        const auto open = std::exchange(this->connections, {});
+        for (const auto& connection : open) {
+            connection->close();
+        }
+    }
+    state(const state&) = delete;
+    auto operator=(const state&) -> state& = delete;
 
     [[nodiscard]] auto own_entry() const -> adapter::node_entry;
     [[nodiscard]] auto own_status() const -> node_status;
--- a/tests/unit/http1/connection_test.cpp
+++ b/tests/unit/http1/connection_test.cpp
@@ -162,10 +162,12 @@
 {
     auto raw = event::tcp_listener(this->owner, [this](auto stream) {
         this->raw_stream = stream;
+        const auto kept = std::weak_ptr<event::tcp_stream>(stream);
         stream->start(
-            [stream](auto) {
-                stream->write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
-                              "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2");
+            [kept](auto) {
+                kept.lock()->write(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2");
             },
             [](auto) {});
     });
