--- /dev/null
+++ b/src/libs/event/udp_socket.cpp
@@ -0,0 +1,121 @@
+#include "event/udp_socket.h"
+
+#include "event/loop.h"
+#include "event/stream_state.h"
+
+#include <uv.h>
+
+#include <array>
+#include <utility>
+
+namespace almondtiller::event {
+
+namespace {
+
+constexpr auto largest_datagram = std::size_t(65536);
+
+auto to_endpoint(const sockaddr* address) -> core::endpoint
+{
+    const auto* numeric = reinterpret_cast<const sockaddr_in*>(address);
+    auto text = std::array<char, INET_ADDRSTRLEN>();
+    uv_ip4_name(numeric, text.data(), text.size());
+    return {text.data(), ntohs(numeric->sin_port)};
+}
+
+} // namespace
+
+/// Lives until the library has closed the handle.
+struct udp_socket::state
+{
+    uv_udp_t handle{};
+    datagram_hook on_datagram;
+    bool is_bound = false;
+    std::array<char, largest_datagram> buffer{};
+};
+
+udp_socket::udp_socket(loop& owner, datagram_hook on_datagram)
+    : data(new state())
+{
+    this->data->on_datagram = std::move(on_datagram);
+    uv_udp_init(owner.native(), &this->data->handle);
+    this->data->handle.data = this->data;
+}
+
+udp_socket::~udp_socket()
+{
+    this->close();
+}
+
+auto udp_socket::bind(const core::endpoint& address) -> std::error_code
+{
+    auto numeric = sockaddr_in();
+    auto status = uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
+    if (status == 0) {
+        status = uv_udp_bind(&this->data->handle,
+                             reinterpret_cast<const sockaddr*>(&numeric), 0);
+    }
+    if (status == 0) {
+        status = uv_udp_recv_start(
+            &this->data->handle,
+            [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+                auto& bytes = static_cast<state*>(handle->data)->buffer;
+                *buffer = uv_buf_init(bytes.data(), bytes.size());
+            },
+            [](uv_udp_t* handle, ssize_t size, const uv_buf_t* buffer,
+               const sockaddr* sender, unsigned) {
+                if (size <= 0 || sender == nullptr) {
+                    return;
+                }
+                // The hook may close the socket.
+                const auto hook =
+                    static_cast<state*>(handle->data)->on_datagram;
+                hook(std::string_view(buffer->base, std::size_t(size)),
+                     to_endpoint(sender));
+            });
+    }
+    this->data->is_bound = status == 0;
+    return status == 0 ? std::error_code() : uv_error(status);
+}
+
+auto udp_socket::port() const -> int
+{
+    if (this->data == nullptr || !this->data->is_bound) {
+        return 0;
+    }
+    auto bound = sockaddr_in();
+    auto size = int(sizeof(bound));
+    uv_udp_getsockname(&this->data->handle, reinterpret_cast<sockaddr*>(&bound),
+                       &size);
+    return ntohs(bound.sin_port);
+}
+
+auto udp_socket::send(const core::endpoint& target, std::string_view bytes)
+    -> std::error_code
+{
+    if (this->data == nullptr) {
+        return make_error_code(std::errc::not_connected);
+    }
+    auto numeric = sockaddr_in();
+    auto status = uv_ip4_addr(target.ip.c_str(), target.port, &numeric);
+    if (status == 0) {
+        // The library takes writable buffers, and only reads them.
+        const auto buffer =
+            uv_buf_init(const_cast<char*>(bytes.data()), bytes.size());
+        status = uv_udp_try_send(&this->data->handle, &buffer, 1,
+                                 reinterpret_cast<const sockaddr*>(&numeric));
+    }
+    return status >= 0 ? std::error_code() : uv_error(status);
+}
+
+auto udp_socket::close() -> void
+{
+    if (this->data == nullptr) {
+        return;
+    }
+    uv_close(
+        reinterpret_cast<uv_handle_t*>(&this->data->handle),
+        [](uv_handle_t* handle) { delete static_cast<state*>(handle->data); });
+    this->data = nullptr;
+}
+
+} // namespace almondtiller::event
--- /dev/null
+++ b/src/libs/event/udp_socket.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/endpoint.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace almondtiller::event {
+
+class loop;
+
+/// A bound UDP socket. Datagrams may be lost, doubled and overtake each other;
+/// what can't be sent at once is dropped.
+class udp_socket
+{
+public:
+    using datagram_hook = std::function<void(std::string_view bytes,
+                                             const core::endpoint& sender)>;
+
+    /// \param on_datagram The view ends with the call.
+    udp_socket(loop& owner, datagram_hook on_datagram);
+    ~udp_socket();
+    udp_socket(const udp_socket&) = delete;
+    auto operator=(const udp_socket&) -> udp_socket& = delete;
+
+    /// \param address Port 0 takes any free port.
+    auto bind(const core::endpoint& address) -> std::error_code;
+
+    /// \return The port it is bound to; 0 before bind().
+    [[nodiscard]] auto port() const -> int;
+
+    auto send(const core::endpoint& target, std::string_view bytes)
+        -> std::error_code;
+
+    auto close() -> void;
+
+private:
+    struct state;
+    state* data;
+};
+
+} // namespace almondtiller::event
--- a/src/libs/fleet/member_table.cpp
+++ b/src/libs/fleet/member_table.cpp
@@ -43,6 +43,26 @@
     return true;
 }
 
+auto member_table::learn(const member& record) -> bool
+{
+    if (!this->merge(record)) {
+        return false;
+    }
+    this->sent.erase(record.id);
+    return true;
+}
+
+auto member_table::raise_incarnation(std::uint64_t incarnation) -> void
+{
+    auto raised = this->self();
+    if (raised.incarnation < incarnation) {
+        raised.incarnation = incarnation;
+        this->store(raised);
+        // The others have learnt it from where this node has.
+        this->sent.erase(raised.id);
+    }
+}
+
 auto member_table::leave() -> void
 {
     auto leaving = this->self();
@@ -52,9 +72,12 @@
 
 auto member_table::forget(const core::node_id& id) -> void
 {
-    this->known.erase(id);
+    const auto found = this->known.find(id);
+    if (found != this->known.end()) {
+        this->toggle_in_view(found->second);
+        this->known.erase(found);
+    }
     this->sent.erase(id);
-    this->update_view();
 }
 
 auto member_table::requeue_self() -> void
@@ -121,23 +144,36 @@
 auto member_table::sample(std::size_t limit, core::random_source& random) const
     -> std::vector<member>
 {
-    auto listed = this->records();
-    if (listed.size() <= limit) {
-        return listed;
-    }
-    for (auto taken = std::size_t(0); taken < limit; ++taken) {
-        const auto other = taken + random.below(listed.size() - taken);
-        std::swap(listed[taken], listed[other]);
+    auto usual = std::vector<const member*>();
+    auto doubted = std::vector<const member*>();
+    for (const auto& [id, record] : this->known) {
+        (record.state == member_state::alive ? usual : doubted)
+            .push_back(&record);
     }
-    listed.resize(limit);
-    return listed;
+    auto sampled = std::vector<member>();
+    const auto draw = [&](std::vector<const member*>& from, std::size_t most) {
+        while (!from.empty() && sampled.size() < most) {
+            std::swap(from[random.below(from.size())], from.back());
+            sampled.push_back(*from.back());
+            from.pop_back();
+        }
+    };
+    // A node that has just read a list takes all on it for alive.
+    draw(doubted, (limit + 1) / 2);
+    draw(usual, limit);
+    draw(doubted, limit);
+    return sampled;
 }
 
 auto member_table::store(const member& record) -> void
 {
+    const auto found = this->known.find(record.id);
+    if (found != this->known.end()) {
+        this->toggle_in_view(found->second);
+    }
+    this->toggle_in_view(record);
     this->known[record.id] = record;
     this->sent[record.id] = 0;
-    this->update_view();
 }
 
 auto member_table::retransmissions() const -> std::uint32_t
@@ -146,17 +182,14 @@
            std::uint32_t(std::bit_width(this->known.size()));
 }
 
-auto member_table::update_view() -> void
+auto member_table::toggle_in_view(const member& record) -> void
 {
-    this->view_hash = 0;
-    for (const auto& [id, record] : this->known) {
-        if (record.state == member_state::dead) {
-            continue;
-        }
-        const auto seed = record.incarnation * 4 + std::uint64_t(record.state);
-        this->view_hash ^=
-            XXH3_64bits_withSeed(id.str().data(), id.str().size(), seed);
+    if (record.state == member_state::dead) {
+        return;
     }
+    const auto seed = record.incarnation * 4 + std::uint64_t(record.state);
+    this->view_hash ^= XXH3_64bits_withSeed(record.id.str().data(),
+                                            record.id.str().size(), seed);
 }
 
 } // namespace almondtiller::fleet
--- a/src/libs/fleet/member_table.h
+++ b/src/libs/fleet/member_table.h
@@ -23,6 +23,13 @@
     /// \return Whether the table changed.
     auto merge(const member& update) -> bool;
 
+    /// Takes a record into account as merge() does, without passing it on:
+    /// the others learn it where this node did.
+    auto learn(const member& record) -> bool;
+
+    /// Raises this node's own incarnation to at least that.
+    auto raise_incarnation(std::uint64_t incarnation) -> void;
+
     /// Marks this node as leaving, for its incarnation and every later one.
     auto leave() -> void;
 
@@ -43,6 +50,15 @@
     /// \return Every member, the dead ones too, sorted by id.
     [[nodiscard]] auto records() const -> std::vector<member>;
 
+    /// Calls \a hook with every member, the dead ones too, sorted by id.
+    template <typename Hook>
+    auto visit(const Hook& hook) const -> void
+    {
+        for (const auto& [id, record] : this->known) {
+            hook(record);
+        }
+    }
+
     /// \return A hash over every member that is not dead; equal tables have
     ///         equal hashes.
     [[nodiscard]] auto view() const -> std::uint64_t;
@@ -51,7 +67,8 @@
     ///         counts them as passed on.
     auto take_updates(std::size_t limit) -> std::vector<member>;
 
-    /// \return Up to \a limit random records, to repair differences.
+    /// \return Up to \a limit random records, to repair differences; about half
+    ///         of them of members that are not alive, if there are such.
     [[nodiscard]] auto sample(std::size_t limit,
                               core::random_source& random) const
         -> std::vector<member>;
@@ -59,7 +76,8 @@
 private:
     auto store(const member& record) -> void;
     [[nodiscard]] auto retransmissions() const -> std::uint32_t;
-    auto update_view() -> void;
+    /// Adds a record to the view's hash, or takes it out again.
+    auto toggle_in_view(const member& record) -> void;
 
     core::node_id self_id;
     std::map<core::node_id, member> known;
--- a/src/libs/fleet/membership.cpp
+++ b/src/libs/fleet/membership.cpp
@@ -1,6 +1,7 @@
 #include "fleet/membership.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace almondtiller::fleet {
@@ -14,7 +15,8 @@
 /// Contacts that a node without peers pings in one round.
 constexpr auto join_contacts = std::size_t(3);
 
-auto shuffle(std::vector<member>& members, core::random_source& random) -> void
+template <typename Member>
+auto shuffle(std::vector<Member>& members, core::random_source& random) -> void
 {
     for (auto left = members.size(); left > 1; --left) {
         std::swap(members[left - 1], members[random.below(left)]);
@@ -26,7 +28,10 @@
 membership::membership(const member& self, const membership_options& options,
                        std::uint64_t seed)
     : options(options), known(self), random(seed)
-{}
+{
+    // Nodes that start together must not turn to other zones together.
+    this->rounds = this->random.below(options.remote_every);
+}
 
 auto membership::set_contacts(const std::vector<member>& contacts) -> void
 {
@@ -36,17 +41,55 @@
     }
 }
 
+auto membership::set_listed(const std::vector<member>& listed) -> void
+{
+    auto names = std::set<core::node_id>{this->known.self().id};
+    for (const auto& record : listed) {
+        names.insert(record.id);
+        if (record.id != this->known.self().id && this->known.learn(record)) {
+            this->suspicions.erase(record.id);
+            this->tombstones.erase(record.id);
+        }
+    }
+    auto withdrawn = std::vector<core::node_id>();
+    this->known.visit([&](const member& peer) {
+        if (!names.contains(peer.id)) {
+            withdrawn.push_back(peer.id);
+        }
+    });
+    for (const auto& id : withdrawn) {
+        this->known.forget(id);
+        this->suspicions.erase(id);
+        this->tombstones.erase(id);
+        this->probes.erase(id);
+    }
+}
+
+auto membership::set_incarnation(std::uint64_t incarnation) -> void
+{
+    this->known.raise_incarnation(incarnation);
+}
+
+auto membership::probe(const core::node_id& id) -> std::vector<probe_order>
+{
+    const auto* target = this->known.find(id);
+    if (target == nullptr || !this->is_other_member(*target) ||
+        this->has_open_probe(id)) {
+        return {};
+    }
+    const auto number = this->next_probe++;
+    this->probes[id] = {number, 0, false};
+    return {{number, std::nullopt, *target}};
+}
+
 auto membership::tick(core::time_point now) -> std::vector<probe_order>
 {
     this->shift_deadlines(now);
     this->end_suspicions(now);
     ++this->rounds;
     auto orders = std::vector<probe_order>();
-    const auto target = this->next_target();
-    if (target && !this->has_open_probe(target->id)) {
-        const auto number = this->next_probe++;
-        this->probes[target->id] = {number, 0, false};
-        orders.push_back({number, std::nullopt, *target});
+    if (const auto target = this->next_target()) {
+        orders = this->probe(target->id);
     }
     for (const auto& contact : this->next_contacts()) {
         orders.push_back({0, std::nullopt, contact});
@@ -57,7 +100,7 @@
 auto membership::make_ping(const core::node_id& target) -> gossip_message
 {
     auto message = gossip_message();
-    message.wants_all = this->others().empty();
+    message.wants_all = this->is_alone();
     message.view = this->known.view();
     message.updates = this->known.take_updates(this->options.max_updates);
     const auto* record = this->known.find(target);
@@ -91,6 +134,38 @@
     }
 }
 
+auto membership::on_news(const gossip_message& received, core::time_point now)
+    -> void
+{
+    this->merge(received.updates, now);
+}
+
+auto membership::has_news() const -> bool
+{
+    return !this->news.empty();
+}
+
+auto membership::take_news() -> gossip_message
+{
+    auto message = gossip_message();
+    message.view = this->known.view();
+    // As many as a ping's answer has at the most.
+    const auto most = 2 * this->options.max_updates;
+    while (!this->news.empty() && message.updates.size() < most) {
+        const auto first = this->news.begin();
+        if (const auto* record = this->known.find(*first)) {
+            message.updates.push_back(*record);
+        }
+        this->news.erase(first);
+    }
+    return message;
+}
+
+auto membership::choose_receivers() -> std::vector<member>
+{
+    return this->choose_alive(this->options.receivers, this->known.self().id);
+}
+
 auto membership::on_probe_result(const probe_order& order, bool answered,
                                  core::time_point now)
     -> std::vector<probe_order>
@@ -127,6 +202,7 @@
 auto membership::leave() -> void
 {
     this->known.leave();
+    this->news.insert(this->known.self().id);
 }
 
 auto membership::table() const -> const member_table&
@@ -148,11 +224,20 @@
     if (is_unknown && update.state == member_state::dead) {
         return;
     }
-    if (!this->known.merge(update) || update.id == this->known.self().id) {
+    if (!this->known.merge(update)) {
+        return;
+    }
+    this->news.insert(update.id);
+    if (update.id == this->known.self().id) {
         return;
     }
     this->suspicions.erase(update.id);
     this->tombstones.erase(update.id);
+    const auto is_doubted = update.state == member_state::suspect ||
+                            update.state == member_state::dead;
+    if (is_doubted && update.zone != this->known.self().zone) {
+        this->doubted_zone = update.zone;
+    }
     if (update.state == member_state::suspect) {
         this->suspicions[update.id] = now + this->options.suspicion;
     }
@@ -224,16 +309,29 @@
 
 auto membership::next_target() -> std::optional<member>
 {
-    const auto members = this->others();
-    auto remote = members;
     const auto& zone = this->known.self().zone;
-    std::erase_if(remote,
-                  [&zone](const member& peer) { return peer.zone == zone; });
+    auto local = std::vector<const member*>();
+    auto remote = std::vector<const member*>();
+    this->known.visit([&](const member& peer) {
+        if (this->is_other_member(peer)) {
+            (peer.zone == zone ? local : remote).push_back(&peer);
+        }
+    });
+    if (const auto zone_to_check = std::exchange(this->doubted_zone, {})) {
+        // Zones go dark as a whole, and few pings come from outside of one.
+        auto there = remote;
+        std::erase_if(there, [&zone_to_check](const member* peer) {
+            return peer->zone != *zone_to_check ||
+                   peer->state != member_state::alive;
+        });
+        if (!there.empty()) {
+            return *there[this->random.below(there.size())];
+        }
+    }
     const auto is_remote_turn =
-        this->rounds % this->options.remote_every == 0 ||
-        remote.size() == members.size();
+        this->rounds % this->options.remote_every == 0 || local.empty();
     if (is_remote_turn && !remote.empty()) {
-        return remote[this->random.below(remote.size())];
+        return *remote[this->random.below(remote.size())];
     }
     while (!this->round_robin.empty()) {
         const auto* next = this->known.find(this->round_robin.back());
@@ -242,25 +340,21 @@
             return *next;
         }
     }
-    auto local = members;
-    std::erase_if(local,
-                  [&zone](const member& peer) { return peer.zone != zone; });
     if (local.empty()) {
         return std::nullopt;
     }
     shuffle(local, this->random);
-    for (const auto& peer : local) {
-        this->round_robin.push_back(peer.id);
+    for (const auto* peer : local) {
+        this->round_robin.push_back(peer->id);
     }
-    const auto next = local.back();
     this->round_robin.pop_back();
-    return next;
+    return *local.back();
 }
 
 auto membership::next_contacts() -> std::vector<member>
 {
-    const auto is_alone = this->others().empty();
-    if (!is_alone && this->rounds % this->options.contact_every != 0) {
+    const auto alone = this->is_alone();
+    if (!alone && this->rounds % this->options.contact_every != 0) {
         return {};
     }
     auto candidates = std::vector<member>();
@@ -274,29 +368,48 @@
         candidates.push_back(*this->known.find(id));
     }
     shuffle(candidates, this->random);
-    const auto most = is_alone ? join_contacts : std::size_t(1);
+    const auto most = alone ? join_contacts : std::size_t(1);
     candidates.resize(std::min(candidates.size(), most));
     return candidates;
 }
 
 auto membership::choose_relays(const member& target) -> std::vector<member>
 {
-    auto relays = this->others();
-    std::erase_if(relays, [&target](const member& peer) {
-        return peer.id == target.id || peer.state != member_state::alive;
+    return this->choose_alive(this->options.relays, target.id);
+}
+
+auto membership::choose_alive(std::size_t most, const core::node_id& target)
+    -> std::vector<member>
+{
+    auto candidates = std::vector<const member*>();
+    this->known.visit([&](const member& peer) {
+        if (this->is_other_member(peer) && peer.id != target &&
+            peer.state == member_state::alive) {
+            candidates.push_back(&peer);
+        }
     });
-    shuffle(relays, this->random);
-    relays.resize(std::min(relays.size(), this->options.relays));
-    return relays;
+    auto chosen = std::vector<member>();
+    while (!candidates.empty() && chosen.size() < most) {
+        const auto drawn = this->random.below(candidates.size());
+        std::swap(candidates[drawn], candidates.back());
+        chosen.push_back(*candidates.back());
+        candidates.pop_back();
+    }
+    return chosen;
+}
+
+auto membership::is_other_member(const member& peer) const -> bool
+{
+    return peer.state != member_state::dead && peer.id != this->known.self().id;
 }
 
-auto membership::others() const -> std::vector<member>
+auto membership::is_alone() const -> bool
 {
-    auto members = this->known.members();
-    std::erase_if(members, [this](const member& peer) {
-        return peer.id == this->known.self().id;
+    auto is_alone = true;
+    this->known.visit([&](const member& peer) {
+        is_alone = is_alone && !this->is_other_member(peer);
     });
-    return members;
+    return is_alone;
 }
 
 auto membership::fill_updates(gossip_message& message, std::uint64_t peer_view,
--- a/src/libs/fleet/membership.h
+++ b/src/libs/fleet/membership.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace almondtiller::fleet {
@@ -22,6 +23,8 @@
     core::milliseconds tombstone{600000};
     /// Peers that are asked to ping a silent member.
     std::size_t relays = 3;
+    /// Peers to which news is passed on.
+    std::size_t receivers = 3;
     /// Updates in one message.
     std::size_t max_updates = 8;
     /// One ping in so many goes to another zone.
@@ -56,6 +59,17 @@
     /// answer a ping.
     auto set_contacts(const std::vector<member>& contacts) -> void;
 
+    /// Takes the platform's list of nodes for what it is: who is on it is a
+    /// member unless known to be dead in that incarnation, who is not is none.
+    auto set_listed(const std::vector<member>& listed) -> void;
+
+    /// Raises this node's own incarnation to at least that.
+    auto set_incarnation(std::uint64_t incarnation) -> void;
+
+    /// \return A ping of a member about which there is reason to doubt, none
+    ///         while one is under way.
+    auto probe(const core::node_id& id) -> std::vector<probe_order>;
+
     /// One round: ends suspicions and gives the pings of this round. After a
     /// pause of this process, suspicions are prolonged by it.
     auto tick(core::time_point now) -> std::vector<probe_order>;
@@ -70,6 +84,20 @@
     /// Takes the answer to a ping into account.
     auto on_ack(const gossip_message& ack, core::time_point now) -> void;
 
+    /// Takes what a peer has passed on at once.
+    auto on_news(const gossip_message& news, core::time_point now) -> void;
+
+    /// \return Whether take_news() has something.
+    [[nodiscard]] auto has_news() const -> bool;
+
+    /// What this node has learnt since the last call and its peers may not
+    /// know, to be passed on at once to choose_receivers(). Pings alone take
+    /// seconds to bring the end of a node to a thousand others.
+    auto take_news() -> gossip_message;
+
+    /// \return Random members that get news.
+    auto choose_receivers() -> std::vector<member>;
+
     /// Says how a ping ended.
     /// \return Indirect pings to send next.
     auto on_probe_result(const probe_order& order, bool answered,
@@ -98,7 +126,11 @@
     auto next_target() -> std::optional<member>;
     auto next_contacts() -> std::vector<member>;
     auto choose_relays(const member& target) -> std::vector<member>;
-    auto others() const -> std::vector<member>;
+    /// \return Random members that are alive, but \a target.
+    auto choose_alive(std::size_t most, const core::node_id& target)
+        -> std::vector<member>;
+    [[nodiscard]] auto is_other_member(const member& peer) const -> bool;
+    [[nodiscard]] auto is_alone() const -> bool;
     auto fill_updates(gossip_message& message, std::uint64_t peer_view,
                       bool wants_all) -> void;
 
@@ -108,6 +140,9 @@
     std::map<core::node_id, member> contacts;
     std::map<core::node_id, core::time_point> suspicions;
     std::map<core::node_id, core::time_point> tombstones;
+    std::set<core::node_id> news;
+    /// Another zone in which a member was last found silent.
+    std::optional<core::zone_name> doubted_zone;
     std::vector<core::node_id> round_robin;
     std::map<core::node_id, probe_state> probes;
     std::uint64_t rounds = 0;
--- a/src/services/gateway/directory_choice.cpp
+++ b/src/services/gateway/directory_choice.cpp
@@ -1,21 +1,52 @@
 #include "services/gateway/directory_choice.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondtiller::gateway {
 
+namespace {
+
+/// Share of an answer that names other zones where both kinds have more nodes
+/// than it takes: enough for a caller whose own zone goes dark.
+constexpr auto remote_share = 0.25;
+
+/// Moves \a count randomly chosen elements to the front of a range.
+auto draw(std::vector<front_node>& nodes, std::size_t first, std::size_t last,
+          std::size_t count, core::random_source& random) -> void
+{
+    for (auto taken = std::size_t(0); taken < count; ++taken) {
+        const auto other = first + taken + random.below(last - first - taken);
+        std::swap(nodes[first + taken], nodes[other]);
+    }
+}
+
+} // namespace
+
 auto choose_fronts(std::vector<front_node> ready,
-                   const core::zone_name& caller_zone)
-    -> std::vector<core::endpoint>
+                   const core::zone_name& caller_zone,
+                   core::random_source& random) -> std::vector<core::endpoint>
 {
-    std::stable_partition(
+    const auto middle = std::stable_partition(
         ready.begin(), ready.end(),
         [&caller_zone](const auto& node) { return node.zone == caller_zone; });
+    auto local = std::size_t(middle - ready.begin());
+    auto remote = ready.size() - local;
+    if (ready.size() > most_addresses) {
+        const auto local_nodes = local;
+        const auto least_remote = std::min(
+            remote, std::size_t(remote_share * double(most_addresses)));
+        local = std::min(local, most_addresses - least_remote);
+        remote = std::min(remote, most_addresses - local);
+        draw(ready, 0, local_nodes, local, random);
+        draw(ready, local_nodes, ready.size(), remote, random);
+        std::rotate(ready.begin() + std::ptrdiff_t(local),
+                    ready.begin() + std::ptrdiff_t(local_nodes), ready.end());
+        ready.resize(local + remote);
+    }
     auto addresses = std::vector<core::endpoint>();
     for (const auto& node : ready) {
-        if (addresses.size() < most_addresses) {
-            addresses.push_back(node.front);
-        }
+        addresses.push_back(node.front);
     }
     return addresses;
 }
--- a/src/services/gateway/fetch_pace.cpp
+++ b/src/services/gateway/fetch_pace.cpp
@@ -4,16 +4,14 @@
 
 namespace almondtiller::gateway {
 
-auto fetch_pace::should_ask(std::int64_t own, bool follows,
+auto fetch_pace::should_ask(std::int64_t own, core::milliseconds patience,
                             core::time_point now) -> bool
 {
     if (this->had != own) {
         this->had = own;
         this->behind_since = now;
     }
-    // An own watch mostly brings the change by itself. Other peers that know
-    // no more either don't make the node any less behind.
-    const auto patience = follows ? silent_watch : core::milliseconds(0);
+    // Other peers that know no more either don't make the node any less behind.
     const auto waits = this->is_asking && now - this->asked < snapshot_patience;
     if (waits || now - this->behind_since < patience) {
         return false;
--- a/src/services/gateway/fetch_pace.h
+++ b/src/services/gateway/fetch_pace.h
@@ -15,10 +15,11 @@
 public:
     /// A peer has said that it knows more.
     /// \param own The revision or version that this node has.
-    /// \param follows The node watches the store itself.
+    /// \param patience How long to wait for others that mostly tell it sooner,
+    ///        as an own watch does.
     /// \return Whether to ask that peer now; it counts as asked then.
-    auto should_ask(std::int64_t own, bool follows, core::time_point now)
-        -> bool;
+    auto should_ask(std::int64_t own, core::milliseconds patience,
+                    core::time_point now) -> bool;
 
     /// A peer that was asked has answered or failed to.
     auto on_answer() -> void;
--- a/src/services/gateway/follower_limits.h
+++ b/src/services/gateway/follower_limits.h
@@ -26,6 +26,9 @@
 inline constexpr auto longest_wait = core::milliseconds(25000);
 /// A watch that is that old when a peer knows more has missed a change.
 inline constexpr auto silent_watch = core::milliseconds(300);
+/// A node asks a peer without a connection to it only if those to which it has
+/// one have not told it a change in that time.
+inline constexpr auto stranger_patience = core::milliseconds(1000);
 /// Entries that are missing so soon after a failure of the store may come
 /// back.
 inline constexpr auto distrust_time = core::milliseconds(2500);
--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -11,8 +11,15 @@
 
 auto node::state::own_entry() const -> adapter::node_entry
 {
-    return {this->settings.node, this->settings.zone, this->settings.peers,
-            this->incarnation};
+    auto entry = adapter::node_entry();
+    entry.node = this->settings.node;
+    entry.zone = this->settings.zone;
+    entry.peers = this->settings.peers;
+    entry.incarnation = this->incarnation;
+    entry.front = this->settings.front;
+    entry.cores = this->settings.cores;
+    entry.link_mbps = this->settings.link_mbps;
+    return entry;
 }
 
 auto node::state::own_status() const -> node_status
@@ -34,10 +41,9 @@
 {
     auto view = node_view();
     view.is_ready = this->is_ready;
-    const auto peers = this->mesh.peers();
-    view.peers_alive = std::size_t(
-        std::count_if(peers.begin(), peers.end(),
-                      [](const auto& peer) { return peer.is_alive; }));
+    this->mesh.visit([&view](const auto& peer) {
+        view.peers_alive += peer.is_alive ? 1 : 0;
+    });
     view.requests_in_flight = std::size_t(
         std::count_if(this->flows.begin(), this->flows.end(),
                       [](const auto& flow) { return !flow.expired(); }));
@@ -100,26 +106,58 @@
         return;
     }
     this->log.write(severity::notice, ready ? "ready" : "not_ready", {});
+    if (ready) {
+        this->mesh.join();
+        this->follower.announce();
+    }
     this->update_candidates();
     this->mesh.beat_now();
 }
 
-auto node::state::update_candidates() -> void
+auto node::state::visit_ready(
+    const std::function<void(const ready_node&)>& hook) const -> void
 {
-    auto live = std::vector<owner_candidate>();
     if (this->is_ready) {
-        live.push_back({this->settings.node, this->own_capacity()});
+        hook({this->settings.node, this->settings.zone, this->settings.front,
+              this->own_capacity()});
     }
-    for (const auto& peer : this->mesh.peers()) {
-        const auto status = this->peer_status.find(peer.entry.node);
-        if (peer.is_alive && status != this->peer_status.end() &&
-            status->second.is_ready) {
-            live.push_back({peer.entry.node, status->second.capacity});
+    this->mesh.visit([&](const peer_view& peer) {
+        if (!peer.is_alive) {
+            return;
         }
-    }
+        const auto& entry = peer.entry;
+        const auto found = this->peer_status.find(entry.node);
+        if (found != this->peer_status.end()) {
+            const auto& status = found->second;
+            if (status.is_ready) {
+                hook({entry.node, status.zone, status.front, status.capacity});
+            }
+        } else if (entry.front.port != 0) {
+            // Nodes register once they are ready.
+            hook({entry.node,
+                  entry.zone,
+                  entry.front,
+                  {entry.cores, entry.link_mbps}});
+        }
+    });
+}
+
+auto node::state::update_candidates() -> void
+{
+    auto live = std::vector<owner_candidate>();
+    this->visit_ready([&live](const ready_node& node) {
+        live.push_back({node.node, node.zone, node.capacity});
+    });
     const auto owners = choose_owners(live);
-    this->follower.set_watchers(choose_watchers(owners, live.size()));
-    this->client.set_candidates(owners);
+    const auto watchers = choose_watchers(owners, live.size());
+    this->follower.set_watchers(watchers);
+    this->mesh.set_pinned(choose_sources(watchers, this->settings.node, owners,
+                                         this->settings.zone));
+    auto names = std::vector<core::node_id>();
+    for (const auto& owner : owners) {
+        names.push_back(owner.node);
+    }
+    this->client.set_candidates(names);
 }
 
 auto node::state::on_peer_status(const core::node_id& peer,
@@ -133,7 +171,8 @@
         return;
     }
     auto& kept = this->peer_status[peer];
-    const auto is_turn = kept.is_ready != status.value().is_ready;
+    const auto is_turn = kept.is_ready != status.value().is_ready ||
+                         kept.capacity != status.value().capacity;
     kept = status.value();
     if (is_turn) {
         this->update_candidates();
@@ -161,8 +200,7 @@
     if (const auto error = this->listen_all()) {
         return error;
     }
-    this->follower.start();
-    this->follower.announce(this->own_entry());
+    this->follower.start(this->own_entry());
     this->sweeper.start_repeating(sweep_interval, sweep_interval);
     return {};
 }
--- a/src/services/gateway/node_front.cpp
+++ b/src/services/gateway/node_front.cpp
@@ -122,16 +122,9 @@
         return;
     }
     auto ready = std::vector<front_node>();
-    if (this->is_ready) {
-        ready.push_back({this->settings.zone, this->settings.front});
-    }
-    for (const auto& peer : this->mesh.peers()) {
-        const auto status = this->peer_status.find(peer.entry.node);
-        if (peer.is_alive && status != this->peer_status.end() &&
-            status->second.is_ready) {
-            ready.push_back({status->second.zone, status->second.front});
-        }
-    }
+    this->visit_ready([&ready](const ready_node& node) {
+        ready.push_back({node.zone, node.front});
+    });
     if (ready.empty()) {
         exchange->respond(unavailable, {}, "");
         return;
@@ -139,7 +132,7 @@
     exchange->respond(
         ok, {{"Content-Type", "application/json"}},
         adapter::encode_directory_answer(
-            choose_fronts(std::move(ready), question->zone),
+            choose_fronts(std::move(ready), question->zone, this->random),
             std::min(directory_lifetime,
                      core::milliseconds(this->settings.max_directory_ttl))));
 }
--- a/src/services/gateway/node_leave.cpp
+++ b/src/services/gateway/node_leave.cpp
@@ -26,6 +26,7 @@
     this->leave_started = this->owner.now();
     this->log.write(severity::notice, "leaving", {});
     this->update_ready();
+    this->mesh.leave();
     this->follower.withdraw(this->settings.node);
     this->leaver.start(leave_check);
 }
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -32,6 +32,15 @@
 inline constexpr auto unauthorized = 401;
 inline constexpr auto not_found = 404;
 
+/// A node that takes requests.
+struct ready_node
+{
+    core::node_id node;
+    core::zone_name zone;
+    core::endpoint front;
+    node_capacity capacity;
+};
+
 struct node::state
 {
     event::loop& owner;
@@ -110,6 +119,9 @@
         -> bool;
     auto on_known_changed() -> void;
     auto update_ready() -> void;
+    /// Calls \a hook with each node that takes requests, as far as known.
+    auto visit_ready(const std::function<void(const ready_node&)>& hook) const
+        -> void;
     auto update_candidates() -> void;
     auto on_peer_status(const core::node_id& peer, const std::string& text)
         -> void;
--- a/src/services/gateway/owner_choice.cpp
+++ b/src/services/gateway/owner_choice.cpp
@@ -1,6 +1,10 @@
 #include "services/gateway/owner_choice.h"
 
+#include "routing/rendezvous.h"
+
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace almondtiller::gateway {
 
@@ -12,43 +16,81 @@
 constexpr auto small_fleet = std::size_t(16);
 /// Enough that a zone's loss leaves some, few enough to be cheap.
 constexpr auto most_watchers = std::size_t(8);
+/// One may be lost without a node missing a change.
+constexpr auto sources_of_a_node = std::size_t(2);
 
 } // namespace
 
 auto choose_owners(const std::vector<owner_candidate>& live)
-    -> std::vector<core::node_id>
+    -> std::vector<owner_candidate>
 {
     auto most = node_capacity{0, 0};
     for (const auto& candidate : live) {
         most.cores = std::max(most.cores, candidate.capacity.cores);
         most.link_mbps = std::max(most.link_mbps, candidate.capacity.link_mbps);
     }
-    auto owners = std::vector<core::node_id>();
-    auto all = std::vector<core::node_id>();
+    auto owners = std::vector<owner_candidate>();
     for (const auto& candidate : live) {
-        all.push_back(candidate.node);
         const auto& capacity = candidate.capacity;
         if (capacity.cores >= least_share * most.cores &&
             capacity.link_mbps >= least_share * most.link_mbps) {
-            owners.push_back(candidate.node);
+            owners.push_back(candidate);
         }
     }
     // Machines may be large in different ways.
-    return owners.empty() ? all : owners;
+    return owners.empty() ? live : owners;
 }
 
-auto choose_watchers(const std::vector<core::node_id>& owners, std::size_t live)
-    -> std::vector<core::node_id>
+auto choose_watchers(const std::vector<owner_candidate>& owners,
+                     std::size_t live) -> std::vector<core::node_id>
 {
     if (live <= small_fleet) {
         return {};
     }
-    auto watchers = owners;
-    std::sort(watchers.begin(), watchers.end());
-    if (watchers.size() > most_watchers) {
-        watchers.resize(most_watchers);
+    auto by_zone = std::map<core::zone_name, std::set<core::node_id>>();
+    for (const auto& owner : owners) {
+        by_zone[owner.zone].insert(owner.node);
+    }
+    auto watchers = std::vector<core::node_id>();
+    while (!by_zone.empty() && watchers.size() < most_watchers) {
+        for (auto& [zone, nodes] : by_zone) {
+            if (!nodes.empty() && watchers.size() < most_watchers) {
+                watchers.push_back(*nodes.begin());
+                nodes.erase(nodes.begin());
+            }
+        }
+        std::erase_if(by_zone,
+                      [](const auto& item) { return item.second.empty(); });
     }
     return watchers;
 }
 
+auto choose_sources(const std::vector<core::node_id>& watchers,
+                    const core::node_id& self,
+                    const std::vector<owner_candidate>& owners,
+                    const core::zone_name& zone) -> std::vector<core::node_id>
+{
+    auto sources = watchers;
+    std::erase(sources, self);
+    if (sources.size() < watchers.size()) {
+        return sources;
+    }
+    const auto key = routing::placement_hash(self.str());
+    const auto rank = [&](const core::node_id& node) {
+        const auto is_remote =
+            std::none_of(owners.begin(), owners.end(), [&](const auto& owner) {
+                return owner.node == node && owner.zone == zone;
+            });
+        return std::pair(is_remote,
+                         routing::rendezvous_weight(
+                             key, routing::placement_hash(node.str())));
+    };
+    std::sort(sources.begin(), sources.end(),
+              [&rank](const auto& left, const auto& right) {
+                  return rank(left) < rank(right);
+              });
+    sources.resize(std::min(sources.size(), sources_of_a_node));
+    return sources;
+}
+
 } // namespace almondtiller::gateway
--- a/src/services/gateway/owner_choice.h
+++ b/src/services/gateway/owner_choice.h
@@ -11,6 +11,7 @@
 struct owner_candidate
 {
     core::node_id node;
+    core::zone_name zone;
     node_capacity capacity;
 
     auto operator==(const owner_candidate&) const -> bool = default;
@@ -21,15 +22,23 @@
 /// stage calls of all nodes, megabytes a second in a large fleet, and on a
 /// small machine becomes the bottleneck of the whole system.
 [[nodiscard]] auto choose_owners(const std::vector<owner_candidate>& live)
-    -> std::vector<core::node_id>;
+    -> std::vector<owner_candidate>;
 
 /// Chooses the nodes that watch the platform's store for the others. Load
 /// pattern: in a large fleet each change of an upstream ends the watch of
 /// every node, and each new watch is a call that loads the store.
-/// \return Some owners, the same on all nodes; empty in a small fleet, where
-///         each node watches for itself.
-[[nodiscard]] auto choose_watchers(const std::vector<core::node_id>& owners,
+/// \return Some owners, of all zones in turn and the same on all nodes; empty
+///         in a small fleet, where each node watches for itself.
+[[nodiscard]] auto choose_watchers(const std::vector<owner_candidate>& owners,
                                    std::size_t live)
     -> std::vector<core::node_id>;
 
+/// Chooses the watchers from which a node hears what has changed: two, those
+/// of its own zone first. A watcher hears all others.
+[[nodiscard]] auto choose_sources(const std::vector<core::node_id>& watchers,
+                                  const core::node_id& self,
+                                  const std::vector<owner_candidate>& owners,
+                                  const core::zone_name& zone)
+    -> std::vector<core::node_id>;
+
 } // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/peer_gossip.cpp
@@ -0,0 +1,401 @@
+#include "services/gateway/peer_gossip.h"
+
+#include "fleet/fleet_errc.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Round trips between zones are a few milliseconds; a small machine that has
+/// used up its share of the processor runs again within 100 ms.
+constexpr auto ping_limit = core::milliseconds(200);
+constexpr auto relay_limit = core::milliseconds(300);
+/// News waits that long for more, as of a zone that is lost as a whole.
+constexpr auto news_delay = core::milliseconds(30);
+constexpr auto last_kind = std::uint8_t(gossip_kind::news);
+
+/// A dead node is out of all directory answers within two seconds: mostly 0.2
+/// until it is pinged, 0.5 for the ping and its relays, 0.4 to refute the
+/// suspicion, and 0.2 until all have heard of it.
+auto gossip_options() -> fleet::membership_options
+{
+    auto options = fleet::membership_options();
+    options.interval = core::milliseconds(200);
+    options.suspicion = core::milliseconds(400);
+    // A datagram of twice as many stays below an Ethernet frame.
+    options.max_updates = 12;
+    // Dead nodes stay registered, and must not come to life by being forgotten.
+    options.tombstone = std::chrono::hours(24);
+    return options;
+}
+
+auto to_member(const adapter::node_entry& entry) -> fleet::member
+{
+    auto made = fleet::member();
+    made.id = entry.node;
+    made.incarnation = std::uint64_t(std::max<std::int64_t>(entry.revision, 0));
+    made.zone = entry.zone;
+    made.peer_address = core::to_text(entry.peers);
+    return made;
+}
+
+auto to_bytes(const std::string& text) -> json
+{
+    return json::binary({text.begin(), text.end()});
+}
+
+auto to_text(const json& value) -> std::string
+{
+    const auto& bytes = value.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+} // namespace
+
+auto encode(const gossip_datagram& datagram) -> std::string
+{
+    const auto is_relay = datagram.kind == gossip_kind::relay;
+    const auto body = is_relay ? fleet::encode_ping_request(datagram.target)
+                               : fleet::encode_gossip(datagram.message);
+    auto bytes = std::string();
+    json::to_cbor(json::array({std::uint8_t(datagram.kind), datagram.number,
+                               datagram.sender.str(), to_bytes(datagram.status),
+                               to_bytes(body)}),
+                  bytes);
+    return bytes;
+}
+
+auto decode_datagram(std::string_view bytes) -> core::result<gossip_datagram>
+{
+    const auto malformed =
+        make_error_code(fleet::fleet_errc::malformed_message);
+    try {
+        const auto value = json::from_cbor(bytes.begin(), bytes.end());
+        auto datagram = gossip_datagram();
+        const auto kind = value.at(0).get<std::uint8_t>();
+        if (kind > last_kind) {
+            return malformed;
+        }
+        datagram.kind = gossip_kind(kind);
+        datagram.number = value.at(1).get<std::uint64_t>();
+        datagram.sender = core::node_id(value.at(2).get<std::string>());
+        datagram.status = to_text(value.at(3));
+        const auto body = to_text(value.at(4));
+        if (datagram.kind == gossip_kind::relay) {
+            BOOST_OUTCOME_TRY(target, fleet::decode_ping_request(body));
+            datagram.target = std::move(target);
+        } else {
+            BOOST_OUTCOME_TRY(message, fleet::decode_gossip(body));
+            datagram.message = std::move(message);
+        }
+        return datagram;
+    } catch (const json::exception&) {
+        return malformed;
+    }
+}
+
+peer_gossip::peer_gossip(event::loop& loop, const adapter::node_entry& own,
+                         event_log& lines)
+    : owner(loop),
+      self(own.node),
+      log(lines),
+      machine(to_member(own), gossip_options(), core::system_seed()),
+      socket(loop,
+             [this](std::string_view bytes, const core::endpoint& sender) {
+                 this->on_bytes(bytes, sender);
+             }),
+      ticker(loop, [this]() { this->tick(); }),
+      expiry(loop, [this]() { this->expire(); }),
+      spreader(loop, [this]() { this->spread_news(); })
+{}
+
+auto peer_gossip::listen(const core::endpoint& address) -> std::error_code
+{
+    return this->socket.bind(address);
+}
+
+auto peer_gossip::start() -> void
+{
+    this->is_started = true;
+    const auto interval = gossip_options().interval;
+    this->ticker.start_repeating(interval, interval);
+}
+
+auto peer_gossip::set_members(const std::vector<adapter::node_entry>& members)
+    -> void
+{
+    auto listed = std::vector<fleet::member>();
+    for (const auto& entry : members) {
+        listed.push_back(to_member(entry));
+        if (entry.node == this->self) {
+            this->machine.set_incarnation(listed.back().incarnation);
+        }
+    }
+    this->machine.set_listed(listed);
+    this->report_change();
+}
+
+auto peer_gossip::set_status(std::function<std::string()> source) -> void
+{
+    this->status = std::move(source);
+}
+
+auto peer_gossip::on_status(status_hook hook) -> void
+{
+    this->status_heard = std::move(hook);
+}
+
+auto peer_gossip::on_change(std::function<void()> hook) -> void
+{
+    this->changed = std::move(hook);
+}
+
+auto peer_gossip::check(const core::node_id& node) -> void
+{
+    for (const auto& order : this->machine.probe(node)) {
+        this->send(order);
+    }
+}
+
+auto peer_gossip::close() -> void
+{
+    this->is_started = false;
+    this->status = nullptr;
+    this->status_heard = nullptr;
+    this->changed = nullptr;
+    this->ticker.stop();
+    this->expiry.stop();
+    this->spreader.stop();
+    this->socket.close();
+}
+
+auto peer_gossip::leave() -> void
+{
+    this->machine.leave();
+    this->spread_news();
+}
+
+auto peer_gossip::spread_news() -> void
+{
+    this->is_spreading = false;
+    while (this->machine.has_news()) {
+        auto datagram = gossip_datagram();
+        datagram.kind = gossip_kind::news;
+        datagram.number = ++this->last_number;
+        datagram.sender = this->self;
+        datagram.status = this->own_status();
+        datagram.message = this->machine.take_news();
+        for (const auto& receiver : this->machine.choose_receivers()) {
+            if (const auto address =
+                    core::parse_endpoint(receiver.peer_address)) {
+                this->send_datagram(*address, datagram);
+            }
+        }
+    }
+}
+
+auto peer_gossip::is_alive(const core::node_id& node) const -> bool
+{
+    const auto* record = this->machine.table().find(node);
+    return record != nullptr && (record->state == fleet::member_state::alive ||
+                                 record->state == fleet::member_state::suspect);
+}
+
+auto peer_gossip::own_status() const -> std::string
+{
+    return this->status ? this->status() : std::string();
+}
+
+auto peer_gossip::tick() -> void
+{
+    for (const auto& order : this->machine.tick(this->owner.now())) {
+        this->send(order);
+    }
+    this->report_change();
+}
+
+auto peer_gossip::send(const fleet::probe_order& order) -> void
+{
+    if (!order.relay) {
+        const auto number = this->send_ping(order);
+        this->expect(number, {order, {}, {}, 0}, ping_limit);
+        return;
+    }
+    auto request = gossip_datagram();
+    request.kind = gossip_kind::relay;
+    request.number = ++this->last_number;
+    request.sender = this->self;
+    request.status = this->own_status();
+    request.target = {order.target.id, order.target.peer_address};
+    this->expect(request.number, {order, {}, {}, 0}, relay_limit);
+    if (const auto address = core::parse_endpoint(order.relay->peer_address)) {
+        this->send_datagram(*address, request);
+    }
+}
+
+auto peer_gossip::send_ping(const fleet::probe_order& order) -> std::uint64_t
+{
+    auto ping = gossip_datagram();
+    ping.number = ++this->last_number;
+    ping.sender = this->self;
+    ping.status = this->own_status();
+    ping.message = this->machine.make_ping(order.target.id);
+    if (const auto address = core::parse_endpoint(order.target.peer_address)) {
+        this->send_datagram(*address, ping);
+    }
+    return ping.number;
+}
+
+auto peer_gossip::send_datagram(const core::endpoint& target,
+                                const gossip_datagram& datagram) -> void
+{
+    if (const auto error = this->socket.send(target, encode(datagram))) {
+        this->log.write(
+            severity::detail, "datagram_not_sent",
+            {{"address", core::to_text(target)}, {"error", error.message()}});
+    }
+}
+
+auto peer_gossip::expect(std::uint64_t number, pending_ping ping,
+                         core::milliseconds limit) -> void
+{
+    ping.limit = this->owner.now() + limit;
+    this->pending.emplace(number, std::move(ping));
+    if (!std::exchange(this->is_expiring, true)) {
+        this->expiry.start(limit);
+    }
+}
+
+auto peer_gossip::on_bytes(std::string_view bytes, const core::endpoint& sender)
+    -> void
+{
+    if (!this->is_started) {
+        return;
+    }
+    const auto datagram = decode_datagram(bytes);
+    if (!datagram) {
+        this->log.write(severity::notice, "datagram_unreadable",
+                        {{"address", core::to_text(sender)},
+                         {"error", datagram.error().message()}});
+        return;
+    }
+    const auto& received = datagram.value();
+    if (this->status_heard && !received.status.empty()) {
+        this->status_heard(received.sender, received.status);
+    }
+    switch (received.kind) {
+    case gossip_kind::ping:
+        this->on_ping(received, sender);
+        break;
+    case gossip_kind::relay:
+        this->on_relay(received, sender);
+        break;
+    case gossip_kind::news:
+        this->machine.on_news(received.message, this->owner.now());
+        break;
+    case gossip_kind::ack:
+    case gossip_kind::relay_ack:
+        this->on_answer(received);
+        break;
+    }
+    this->report_change();
+}
+
+auto peer_gossip::on_ping(const gossip_datagram& ping,
+                          const core::endpoint& sender) -> void
+{
+    auto ack = gossip_datagram();
+    ack.kind = gossip_kind::ack;
+    ack.number = ping.number;
+    ack.sender = this->self;
+    ack.status = this->own_status();
+    ack.message = this->machine.on_ping(ping.message, this->owner.now());
+    this->send_datagram(sender, ack);
+}
+
+auto peer_gossip::on_relay(const gossip_datagram& relay,
+                           const core::endpoint& sender) -> void
+{
+    auto order = fleet::probe_order();
+    order.target.id = relay.target.target;
+    order.target.peer_address = relay.target.peer_address;
+    const auto number = this->send_ping(order);
+    this->expect(number, {order, {}, sender, relay.number}, relay_limit);
+}
+
+auto peer_gossip::on_answer(const gossip_datagram& answer) -> void
+{
+    const auto found = this->pending.find(answer.number);
+    if (answer.kind == gossip_kind::ack) {
+        this->machine.on_ack(answer.message, this->owner.now());
+    }
+    if (found == this->pending.end()) {
+        return;
+    }
+    const auto ping = std::move(found->second);
+    this->pending.erase(found);
+    this->finish(ping, true);
+}
+
+auto peer_gossip::expire() -> void
+{
+    this->is_expiring = false;
+    const auto now = this->owner.now();
+    auto overdue = std::vector<pending_ping>();
+    auto next = core::time_point::max();
+    std::erase_if(this->pending, [&](const auto& item) {
+        if (item.second.limit <= now) {
+            overdue.push_back(item.second);
+            return true;
+        }
+        next = std::min(next, item.second.limit);
+        return false;
+    });
+    if (next != core::time_point::max()) {
+        this->is_expiring = true;
+        this->expiry.start(std::chrono::ceil<core::milliseconds>(next - now));
+    }
+    for (const auto& ping : overdue) {
+        this->finish(ping, false);
+    }
+    this->report_change();
+}
+
+auto peer_gossip::finish(const pending_ping& ping, bool is_answered) -> void
+{
+    if (ping.asked_as != 0) {
+        if (is_answered) {
+            auto answer = gossip_datagram();
+            answer.kind = gossip_kind::relay_ack;
+            answer.number = ping.asked_as;
+            answer.sender = this->self;
+            this->send_datagram(ping.asker, answer);
+        }
+        return;
+    }
+    for (const auto& order : this->machine.on_probe_result(
+             ping.order, is_answered, this->owner.now())) {
+        this->send(order);
+    }
+}
+
+auto peer_gossip::report_change() -> void
+{
+    if (this->is_started && this->machine.has_news() &&
+        !std::exchange(this->is_spreading, true)) {
+        this->spreader.start(news_delay);
+    }
+    const auto view = this->machine.table().view();
+    if (view != std::exchange(this->reported_view, view) && this->changed) {
+        this->changed();
+    }
+}
+
+} // namespace almondtiller::gateway
--- a/src/services/gateway/peer_links.cpp
+++ b/src/services/gateway/peer_links.cpp
@@ -5,10 +5,55 @@
 
 namespace almondtiller::gateway {
 
-auto peer_mesh::state::interval() const -> core::milliseconds
+auto peer_mesh::state::is_large() const -> bool
 {
-    return std::max(beat_interval,
-                    beat_interval_per_peer * std::int64_t(this->links.size()));
+    return this->links.size() > most_small_peers;
+}
+
+auto peer_mesh::state::interval(const peer_link& link) const
+    -> core::milliseconds
+{
+    if (!this->is_large()) {
+        return beat_interval;
+    }
+    const auto is_busy = link.is_pinned || !link.calls.empty();
+    return is_busy ? busy_beat_interval : idle_beat_interval;
+}
+
+auto peer_mesh::state::reconnect_time(const peer_link& link) const
+    -> core::milliseconds
+{
+    return this->is_large() ? reconnect_pause * (1 << link.failures)
+                            : beat_interval;
+}
+
+auto peer_mesh::state::update_gossip(
+    const std::vector<adapter::node_entry>& members) -> void
+{
+    this->gossip.set_members(members);
+    this->start_gossip();
+    this->take_gossip();
+}
+
+auto peer_mesh::state::start_gossip() -> void
+{
+    if (this->is_joined && this->is_large() &&
+        !std::exchange(this->is_gossiping, true)) {
+        this->gossip.start();
+    }
+}
+
+auto peer_mesh::state::take_gossip() -> void
+{
+    if (!this->is_large()) {
+        return;
+    }
+    const auto now = this->owner.now();
+    for (auto& [node, link] : this->links) {
+        const auto alive = this->gossip.is_alive(node);
+        this->set_alive(link, alive && link.connect_not_before <= now,
+                        "gossip");
+    }
 }
 
 auto peer_mesh::state::set_alive(peer_link& link, bool alive,
@@ -30,8 +75,7 @@
     }
 }
 
-auto peer_mesh::state::drop_link(peer_link& link, std::string_view reason)
-    -> void
+auto peer_mesh::state::close_link(peer_link& link) -> void
 {
     if (link.stream) {
         std::exchange(link.stream, nullptr)->close();
@@ -41,12 +85,25 @@
         this->owner.post([old = std::shared_ptr<h2::h2_session>(
                               std::move(link.session))]() {});
     }
-    link.connect_not_before = this->owner.now() + this->interval();
     link.is_beating = false;
+}
+
+auto peer_mesh::state::drop_link(peer_link& link, std::string_view reason)
+    -> void
+{
+    this->close_link(link);
+    link.connect_not_before = this->owner.now() + this->reconnect_time(link);
+    link.failures = std::min(link.failures + 1, most_doublings);
     this->set_alive(link, false, reason);
     for (const auto& [stream, call] : std::exchange(link.calls, {})) {
         this->finish(call, make_error_code(fleet_errc::peer_unreachable));
     }
+    for (const auto& call : std::exchange(link.waiting, {})) {
+        this->finish(call.id, make_error_code(fleet_errc::peer_unreachable));
+    }
+    if (this->is_gossiping) {
+        this->gossip.check(link.view.entry.node);
+    }
 }
 
 auto peer_mesh::state::finish(std::uint64_t id,
@@ -83,6 +140,7 @@
     this->status = nullptr;
     this->sender_lost = nullptr;
     this->status_heard = nullptr;
+    this->gossip.close();
     this->handlers.clear();
     this->calls.clear();
     this->ticker.reset();
@@ -146,7 +204,7 @@
     auto& link = found->second;
     link.is_connecting = false;
     if (error || link.view.entry.peers != address) {
-        link.connect_not_before = this->owner.now() + this->interval();
+        this->drop_link(link, "not_connected");
         return;
     }
     link.stream = std::move(stream);
@@ -178,6 +236,9 @@
             }
         });
     link.heard = this->owner.now();
+    for (const auto& call : std::exchange(link.waiting, {})) {
+        this->submit(link, call.id, call.request);
+    }
     this->flush(node);
     this->beat(link);
 }
@@ -203,9 +264,13 @@
         return;
     }
     link.is_beating = true;
+    link.beaten = this->owner.now();
+    if (link.unanswered <= link.heard) {
+        link.unanswered = link.beaten;
+    }
     const auto node = link.view.entry.node;
     this->send(link, beat_topic, this->status ? this->status() : "",
-               this->interval() * alive_beats,
+               this->interval(link) * alive_beats,
                [this, node](core::result<std::string> answer) {
                    const auto found = this->links.find(node);
                    if (found == this->links.end()) {
@@ -217,14 +282,10 @@
                        return;
                    }
                    heard.heard = this->owner.now();
-                   const auto is_news = heard.view.status != answer.value();
-                   heard.view.status = answer.value();
+                   heard.failures = 0;
                    this->set_alive(heard, true, "heartbeat");
                    if (this->status_heard) {
-                       this->status_heard(node, heard.view.status);
-                   }
-                   if (is_news && this->changed) {
-                       this->changed();
+                       this->status_heard(node, answer.value());
                    }
                });
 }
@@ -237,29 +298,46 @@
     auto& call = this->calls[id];
     call.node = link.view.entry.node;
     call.answer = std::move(answer);
-    const auto fail = [this, id](fleet_errc code) {
-        this->finish(id, make_error_code(code));
-    };
-    if (!link.session) {
-        fail(fleet_errc::peer_unreachable);
-        return id;
-    }
-    const auto stream = link.session->submit_request(
-        {topic, this->self.node.str(), std::move(body)});
-    if (!stream) {
-        fail(fleet_errc::too_many_calls);
-        return id;
-    }
-    call.stream = stream.value();
-    link.calls[call.stream] = id;
     call.limit = std::make_unique<event::timer>(this->owner, [this, id]() {
         this->give_up(id, fleet_errc::peer_timeout);
     });
     call.limit->start(limit);
-    this->flush(call.node);
+    const auto request =
+        h2::h2_request{topic, this->self.node.str(), std::move(body)};
+    if (link.session) {
+        this->submit(link, id, request);
+    } else if (this->is_large() &&
+               link.connect_not_before <= this->owner.now()) {
+        link.waiting.push_back({id, request});
+        if (!link.is_connecting) {
+            this->connect(link);
+        }
+    } else {
+        this->finish(id, make_error_code(fleet_errc::peer_unreachable));
+    }
     return id;
 }
 
+auto peer_mesh::state::submit(peer_link& link, std::uint64_t id,
+                              const h2::h2_request& request) -> void
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const auto stream = link.session->submit_request(request);
+    if (!stream) {
+        this->finish(id, make_error_code(fleet_errc::too_many_calls));
+        return;
+    }
+    found->second.stream = stream.value();
+    link.calls[stream.value()] = id;
+    if (request.topic != beat_topic) {
+        link.called = this->owner.now();
+    }
+    this->flush(link.view.entry.node);
+}
+
 auto peer_mesh::state::give_up(std::uint64_t id, fleet_errc code) -> void
 {
     const auto found = this->calls.find(id);
@@ -275,20 +353,45 @@
     this->finish(id, make_error_code(code));
 }
 
-auto peer_mesh::state::tick() -> void
+auto peer_mesh::state::is_silent(const peer_link& link) const -> bool
 {
     const auto now = this->owner.now();
-    for (auto& [node, link] : this->links) {
-        if (link.stream && now - link.heard > this->interval() * alive_beats) {
-            this->drop_link(link, "silent");
-        }
-        if (!link.stream && !link.is_connecting &&
-            link.connect_not_before <= now) {
-            this->connect(link);
-        }
+    const auto limit = this->interval(link) * alive_beats;
+    if (!this->is_large()) {
+        return now - link.heard > limit;
+    }
+    // An idle link is silent by itself until it is beaten.
+    return link.unanswered > link.heard && now - link.unanswered > limit;
+}
+
+auto peer_mesh::state::tend(peer_link& link) -> void
+{
+    const auto now = this->owner.now();
+    if (link.stream && this->is_silent(link)) {
+        this->drop_link(link, "silent");
+    }
+    const auto is_wanted = !this->is_large() || link.is_pinned;
+    if (is_wanted && !link.stream && !link.is_connecting &&
+        link.connect_not_before <= now) {
+        this->connect(link);
+    }
+    const auto is_idle = link.calls.empty() && !link.is_beating &&
+                         now - link.called > idle_link_time;
+    if (link.stream && !is_wanted && is_idle) {
+        this->close_link(link);
+    }
+    if (now - link.beaten >= this->interval(link)) {
         this->beat(link);
     }
-    this->ticker->start(this->interval());
+}
+
+auto peer_mesh::state::tick() -> void
+{
+    for (auto& [node, link] : this->links) {
+        this->tend(link);
+    }
+    this->take_gossip();
+    this->ticker->start(beat_interval);
 }
 
 } // namespace almondtiller::gateway
--- a/src/services/gateway/peer_mesh.cpp
+++ b/src/services/gateway/peer_mesh.cpp
@@ -29,7 +29,8 @@
     kept->ticker =
         std::make_unique<event::timer>(kept->owner, [kept]() { kept->tick(); });
     kept->ticker->start(core::milliseconds(0));
-    return error;
+    kept->gossip.on_change([kept]() { kept->take_gossip(); });
+    return error ? error : kept->gossip.listen(kept->self.peers);
 }
 
 auto peer_mesh::handle(const std::string& topic, handler handles) -> void
@@ -64,6 +65,7 @@
     std::erase_if(links, [&wanted](const auto& item) {
         return !wanted.contains(item.first);
     });
+    this->data->update_gossip(members);
     if (this->data->ticker) {
         this->data->ticker->start(core::milliseconds(0));
     }
@@ -72,6 +74,7 @@
 auto peer_mesh::set_status(std::function<std::string()> status) -> void
 {
     this->data->status = std::move(status);
+    this->data->gossip.set_status(this->data->status);
 }
 
 auto peer_mesh::on_change(std::function<void()> hook) -> void
@@ -89,6 +92,15 @@
     std::function<void(const core::node_id&, const std::string&)> hook) -> void
 {
     this->data->status_heard = std::move(hook);
+    this->data->gossip.on_status(this->data->status_heard);
+}
+
+auto peer_mesh::set_pinned(const std::vector<core::node_id>& nodes) -> void
+{
+    const auto pinned = std::set<core::node_id>(nodes.begin(), nodes.end());
+    for (auto& [node, link] : this->data->links) {
+        link.is_pinned = pinned.contains(node);
+    }
 }
 
 auto peer_mesh::call(const core::node_id& node, const std::string& topic,
@@ -123,13 +135,37 @@
     }
 }
 
-auto peer_mesh::peers() const -> std::vector<peer_view>
+auto peer_mesh::join() -> void
+{
+    this->data->is_joined = true;
+    this->data->start_gossip();
+}
+
+auto peer_mesh::leave() -> void
+{
+    this->beat_now();
+    if (this->data->is_gossiping) {
+        this->data->gossip.leave();
+    }
+}
+
+auto peer_mesh::visit(const std::function<void(const peer_view&)>& hook) const
+    -> void
 {
-    auto views = std::vector<peer_view>();
     for (const auto& [node, link] : this->data->links) {
-        views.push_back(link.view);
+        hook(link.view);
     }
-    return views;
+}
+
+auto peer_mesh::size() const -> std::size_t
+{
+    return this->data->links.size();
+}
+
+auto peer_mesh::is_connected(const core::node_id& node) const -> bool
+{
+    const auto found = this->data->links.find(node);
+    return found != this->data->links.end() && found->second.session != nullptr;
 }
 
 auto peer_mesh::is_alive(const core::node_id& node) const -> bool
--- a/src/services/gateway/peer_mesh.h
+++ b/src/services/gateway/peer_mesh.h
@@ -20,15 +20,16 @@
     adapter::node_entry entry;
     /// It answers heartbeats.
     bool is_alive = false;
-    /// What it said of itself with the last heartbeat.
-    std::string status;
 
     auto operator==(const peer_view&) const -> bool = default;
 };
 
-/// Connections to all other nodes: HTTP/2 calls and heartbeats over them. A
-/// node that misses heartbeats, or whose connection breaks, is not alive and
-/// its calls fail at once.
+/// Calls between nodes over HTTP/2 connections, and which nodes are alive. In a
+/// small fleet each node keeps a connection to each other and finds by its
+/// heartbeats whether it lives. In a large one connections are made for calls
+/// and for pinned nodes only, with heartbeats over those, and gossip finds who
+/// lives. A node that misses heartbeats, or whose connection breaks, is not
+/// alive and its calls fail at once.
 class peer_mesh
 {
 public:
@@ -46,7 +47,7 @@
     auto listen() -> std::error_code;
     auto handle(const std::string& topic, handler handles) -> void;
 
-    /// \param members All nodes that are registered; the own one is skipped.
+    /// \param members All nodes that are registered, this one too.
     auto set_members(const std::vector<adapter::node_entry>& members) -> void;
 
     /// \param status Asked at each heartbeat.
@@ -56,7 +57,10 @@
     auto on_change(std::function<void()> hook) -> void;
     /// Called when a node's connection to this one has ended.
     auto on_sender_lost(std::function<void(const core::node_id&)> hook) -> void;
-    /// Called with what a node says of itself, at each heartbeat.
+    /// Keeps connections to these nodes, whatever is called.
+    auto set_pinned(const std::vector<core::node_id>& nodes) -> void;
+
+    /// Called with what a node says of itself, with heartbeats and gossip.
     auto on_status(
         std::function<void(const core::node_id&, const std::string&)> hook)
         -> void;
@@ -68,10 +72,23 @@
         -> std::uint64_t;
     auto cancel(std::uint64_t call) -> void;
 
-    /// Tells all nodes the status now.
+    /// Tells connected nodes the status now.
     auto beat_now() -> void;
 
-    [[nodiscard]] auto peers() const -> std::vector<peer_view>;
+    /// This node takes requests from now on.
+    auto join() -> void;
+
+    /// Tells all nodes that this one leaves.
+    auto leave() -> void;
+
+    /// Calls \a hook with each other node, by id.
+    auto visit(const std::function<void(const peer_view&)>& hook) const -> void;
+
+    /// \return How many other nodes are registered.
+    [[nodiscard]] auto size() const -> std::size_t;
+
+    /// \return Whether there is a connection to the node.
+    [[nodiscard]] auto is_connected(const core::node_id& node) const -> bool;
     [[nodiscard]] auto is_alive(const core::node_id& node) const -> bool;
 
 private:
--- a/src/services/gateway/peer_mesh_state.h
+++ b/src/services/gateway/peer_mesh_state.h
@@ -5,6 +5,7 @@
 #include "event/timer.h"
 #include "fleet/fleet_errc.h"
 #include "h2/h2_session.h"
+#include "services/gateway/peer_gossip.h"
 #include "services/gateway/peer_mesh.h"
 
 #include <set>
@@ -13,16 +14,33 @@
 
 using fleet::fleet_errc;
 
-/// Time between heartbeats to a peer in a small fleet; a node that misses
-/// them for alive_beats intervals is taken as gone.
+/// Time between heartbeats to a peer; a node that misses them for alive_beats
+/// intervals is taken as gone.
 inline constexpr auto beat_interval = core::milliseconds(250);
 inline constexpr auto alive_beats = 4;
-/// Each peer adds that much to the interval, so that the heartbeats of a
-/// large fleet do not use up small machines.
-inline constexpr auto beat_interval_per_peer = core::milliseconds(10);
+/// A fleet with more other nodes than that is large.
+inline constexpr auto most_small_peers = std::size_t(16);
+/// Time between heartbeats in a large fleet, where an owner has a connection
+/// from each node, by whether calls wait for the peer.
+inline constexpr auto busy_beat_interval = core::milliseconds(500);
+inline constexpr auto idle_beat_interval = core::milliseconds(2000);
+/// A connection without calls is closed after that time. Far longer than any
+/// request runs: the peer forgets what a node has running with its connection.
+inline constexpr auto idle_link_time = std::chrono::seconds(60);
+/// A peer whose connection has failed is called again after that time, which
+/// doubles with each failure in a row.
+inline constexpr auto reconnect_pause = core::milliseconds(1000);
+inline constexpr auto most_doublings = 3;
 inline constexpr auto peer_connect_limit = core::milliseconds(400);
 inline constexpr auto beat_topic = "beat";
 
+/// A call that is sent once there is a connection.
+struct waiting_call
+{
+    std::uint64_t id = 0;
+    h2::h2_request request;
+};
+
 /// An outgoing connection to one peer.
 struct peer_link
 {
@@ -32,10 +50,19 @@
     bool is_connecting = false;
     bool is_flushing = false;
     bool is_beating = false;
+    bool is_pinned = false;
     core::time_point heard;
+    core::time_point beaten;
+    /// When the first heartbeat was sent since the peer was heard.
+    core::time_point unanswered;
+    core::time_point called;
     core::time_point connect_not_before;
+    /// Failures since the last heartbeat, up to most_doublings.
+    int failures = 0;
     /// Calls under way, by stream.
     std::map<std::int32_t, std::uint64_t> calls;
+    /// Calls that wait for the connection.
+    std::vector<waiting_call> waiting;
 };
 
 /// A call, whichever link carries it.
@@ -74,16 +101,38 @@
     std::function<void(const core::node_id&, const std::string&)> status_heard;
     std::uint64_t last_call = 0;
     std::unique_ptr<event::timer> ticker;
+    peer_gossip gossip;
+    /// This node takes requests, so that others may find it alive.
+    bool is_joined = false;
+    bool is_gossiping = false;
     bool is_closed = false;
 
     state(event::loop& loop, adapter::node_entry entry, event_log& lines)
-        : owner(loop), self(std::move(entry)), log(lines)
+        : owner(loop),
+          self(std::move(entry)),
+          log(lines),
+          gossip(loop, this->self, lines)
     {}
 
-    [[nodiscard]] auto interval() const -> core::milliseconds;
+    [[nodiscard]] auto is_large() const -> bool;
+    /// \return Time between heartbeats over a connection.
+    [[nodiscard]] auto interval(const peer_link& link) const
+        -> core::milliseconds;
+    [[nodiscard]] auto reconnect_time(const peer_link& link) const
+        -> core::milliseconds;
+    [[nodiscard]] auto is_silent(const peer_link& link) const -> bool;
+    auto start_gossip() -> void;
+    /// Takes what gossip says of who lives, in a large fleet.
+    auto take_gossip() -> void;
+    auto update_gossip(const std::vector<adapter::node_entry>& members) -> void;
     auto set_alive(peer_link& link, bool alive, std::string_view reason)
         -> void;
+    /// Ends a connection that has failed, and the calls over it.
     auto drop_link(peer_link& link, std::string_view reason) -> void;
+    /// Ends a connection that is not needed.
+    auto close_link(peer_link& link) -> void;
+    /// Connects, beats and closes as the fleet's size asks for.
+    auto tend(peer_link& link) -> void;
     auto finish(std::uint64_t id, core::result<std::string> answer) -> void;
     auto post_answer(reply done, core::result<std::string> value) -> void;
 
@@ -99,6 +148,8 @@
     auto beat(peer_link& link) -> void;
     auto send(peer_link& link, const std::string& topic, std::string body,
               core::milliseconds limit, reply answer) -> std::uint64_t;
+    auto submit(peer_link& link, std::uint64_t id,
+                const h2::h2_request& request) -> void;
     auto give_up(std::uint64_t id, fleet_errc code) -> void;
     auto tick() -> void;
     auto accept(std::shared_ptr<event::tcp_stream> stream) -> void;
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -96,8 +96,9 @@
     }
 }
 
-auto store_follower::start() -> void
+auto store_follower::start(const adapter::node_entry& entry) -> void
 {
+    this->own = entry;
     for (auto& mirror : this->mirrors) {
         mirror->start();
     }
@@ -111,13 +112,20 @@
 
 auto store_follower::wait_of_watches() -> core::milliseconds
 {
-    const auto peers = this->mesh.peers();
-    const auto rank =
-        std::count_if(peers.begin(), peers.end(), [this](const auto& peer) {
-            return peer.entry.node < this->own.node;
-        });
-    const auto nodes = std::uint64_t(peers.size() + 1);
-    const auto turn = (std::uint64_t(rank) + ++this->watches) % nodes;
+    auto rank = std::uint64_t(0);
+    auto nodes = std::uint64_t(1);
+    const auto count = [&](const core::node_id& node) {
+        if (node != this->own.node) {
+            rank += node < this->own.node ? 1 : 0;
+            ++nodes;
+        }
+    };
+    if (this->watchers.empty()) {
+        this->mesh.visit([&](const auto& peer) { count(peer.entry.node); });
+    } else {
+        std::for_each(this->watchers.begin(), this->watchers.end(), count);
+    }
+    const auto turn = (rank + ++this->watches) % nodes;
     return std::min(watch_step * std::int64_t(turn + 1), longest_wait);
 }
 
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -25,7 +25,8 @@
                    peer_mesh& mesh, event_log& log,
                    std::function<void()> on_changed);
 
-    auto start() -> void;
+    /// \param entry How this node will announce itself.
+    auto start(const adapter::node_entry& entry) -> void;
 
     /// \return The revision of each kind, by object_kind.
     [[nodiscard]] auto revisions() const -> std::vector<std::int64_t>;
@@ -51,7 +52,7 @@
     [[nodiscard]] auto is_complete() const -> bool;
 
     /// Registers this node, again until it has worked.
-    auto announce(const adapter::node_entry& entry) -> void;
+    auto announce() -> void;
     /// Takes the own registration back.
     auto withdraw(const core::node_id& node) -> void;
 
@@ -73,6 +74,10 @@
                     std::int64_t since) -> void;
     auto put_entry(bool exists) -> void;
     auto update_following() -> void;
+    /// \return How long to wait for others before a peer that knows more is
+    ///         asked.
+    [[nodiscard]] auto patience_with(const core::node_id& peer,
+                                     bool follows) const -> core::milliseconds;
     [[nodiscard]] auto encode_since(std::size_t kind,
                                     std::int64_t revision) const -> std::string;
     auto take_snapshot(const core::node_id& peer, std::size_t kind,
--- a/src/services/gateway/store_snapshots.cpp
+++ b/src/services/gateway/store_snapshots.cpp
@@ -21,6 +21,15 @@
            adapter::encode_page(mirror.objects(), mirror.revision());
 }
 
+auto store_follower::patience_with(const core::node_id& peer,
+                                   bool follows) const -> core::milliseconds
+{
+    if (!this->mesh.is_connected(peer)) {
+        return stranger_patience;
+    }
+    return follows ? silent_watch : core::milliseconds(0);
+}
+
 auto store_follower::on_peer_revisions(
     const core::node_id& peer, const std::vector<std::int64_t>& revisions)
     -> void
@@ -31,7 +40,8 @@
         auto& mirror = *this->mirrors[kind];
         const auto own = mirror.revision();
         if (revisions[kind] > own &&
-            this->paces[kind].should_ask(own, mirror.is_following(), now)) {
+            this->paces[kind].should_ask(
+                own, this->patience_with(peer, mirror.is_following()), now)) {
             this->fetch_from(peer, kind, own);
         }
     }
@@ -45,7 +55,8 @@
     const auto kind = index_of(adapter::object_kind::configurations);
     const auto follows = this->mirrors[kind]->is_following();
     if (version > own &&
-        this->configuration_pace.should_ask(own, follows, this->owner.now())) {
+        this->configuration_pace.should_ask(
+            own, this->patience_with(peer, follows), this->owner.now())) {
         this->fetch_from(peer, kind, whole_list);
     }
 }
@@ -109,9 +120,8 @@
     }
 }
 
-auto store_follower::announce(const adapter::node_entry& entry) -> void
+auto store_follower::announce() -> void
 {
-    this->own = entry;
     this->put_entry(false);
 }
 
--- a/tests/unit/gateway/fetch_pace_test.cpp
+++ b/tests/unit/gateway/fetch_pace_test.cpp
@@ -1,4 +1,5 @@
 #include "services/gateway/fetch_pace.h"
+#include "services/gateway/follower_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -16,39 +17,46 @@
 
 TEST_F(fetch_pace_test, asks_at_once_without_an_own_watch)
 {
-    EXPECT_TRUE(this->pace.should_ask(1, false, this->now));
-    EXPECT_FALSE(this->pace.should_ask(1, false, this->now + milliseconds(10)));
+    EXPECT_TRUE(this->pace.should_ask(1, milliseconds(0), this->now));
+    EXPECT_FALSE(this->pace.should_ask(1, milliseconds(0),
+                                       this->now + milliseconds(10)));
     this->pace.on_answer();
-    EXPECT_TRUE(this->pace.should_ask(2, false, this->now + milliseconds(20)));
+    EXPECT_TRUE(this->pace.should_ask(2, milliseconds(0),
+                                      this->now + milliseconds(20)));
 }
 
 // Load pattern: the first peer that tells of a change is leaving and never
 // answers; the others tell of it several times a second.
 TEST_F(fetch_pace_test, passes_over_a_peer_that_does_not_answer)
 {
-    ASSERT_TRUE(this->pace.should_ask(1, false, this->now));
+    ASSERT_TRUE(this->pace.should_ask(1, milliseconds(0), this->now));
     auto asked = 0;
     for (auto step = 0; step < 50; ++step) {
         this->now += milliseconds(10);
-        asked += this->pace.should_ask(1, false, this->now) ? 1 : 0;
+        asked += this->pace.should_ask(1, milliseconds(0), this->now) ? 1 : 0;
     }
     EXPECT_EQ(asked, 2) << "another one each 250 ms, not all of them";
 }
 
 TEST_F(fetch_pace_test, gives_an_own_watch_time_to_bring_the_change)
 {
-    EXPECT_FALSE(this->pace.should_ask(1, true, this->now));
-    EXPECT_FALSE(this->pace.should_ask(1, true, this->now + milliseconds(200)));
-    EXPECT_TRUE(this->pace.should_ask(1, true, this->now + milliseconds(301)));
+    EXPECT_FALSE(this->pace.should_ask(1, silent_watch, this->now));
+    EXPECT_FALSE(
+        this->pace.should_ask(1, silent_watch, this->now + milliseconds(200)));
+    EXPECT_TRUE(
+        this->pace.should_ask(1, silent_watch, this->now + milliseconds(301)));
 }
 
 // Changes that come one after the other are no silent watch.
 TEST_F(fetch_pace_test, waits_anew_after_a_change)
 {
-    EXPECT_FALSE(this->pace.should_ask(1, true, this->now));
-    EXPECT_FALSE(this->pace.should_ask(2, true, this->now + milliseconds(250)));
-    EXPECT_FALSE(this->pace.should_ask(2, true, this->now + milliseconds(400)));
-    EXPECT_TRUE(this->pace.should_ask(2, true, this->now + milliseconds(551)));
+    EXPECT_FALSE(this->pace.should_ask(1, silent_watch, this->now));
+    EXPECT_FALSE(
+        this->pace.should_ask(2, silent_watch, this->now + milliseconds(250)));
+    EXPECT_FALSE(
+        this->pace.should_ask(2, silent_watch, this->now + milliseconds(400)));
+    EXPECT_TRUE(
+        this->pace.should_ask(2, silent_watch, this->now + milliseconds(551)));
 }
 
 } // namespace
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -2,11 +2,15 @@
 
 #include "services/gateway/directory_choice.h"
 #include "services/gateway/owner_choice.h"
+#include "services/gateway/peer_gossip.h"
 
 #include <gtest/gtest.h>
 
 #include <rapidcheck/gtest.h>
 
+#include <map>
+#include <set>
+
 namespace almondtiller::gateway {
 
 TEST(peer_messages, carry_times_as_what_is_left)
@@ -78,6 +82,7 @@
     static_cast<void>(decode_placement_outcome(bytes));
     static_cast<void>(decode_reports(bytes));
     static_cast<void>(decode_free(bytes));
+    static_cast<void>(decode_datagram(bytes));
 }
 
 // Load pattern: a large fleet of small machines beside a few large ones; the
@@ -85,41 +90,165 @@
 TEST(owner_choice, takes_the_large_machines)
 {
     const auto candidate = [](const char* name, double cores, double link) {
-        return owner_candidate{core::node_id(name), {cores, link}};
+        return owner_candidate{
+            core::node_id(name), core::zone_name("z"), {cores, link}};
     };
     const auto owners =
         choose_owners({candidate("small", 0.12, 10), candidate("a", 0.5, 200),
                        candidate("b", 0.5, 150)});
-    EXPECT_EQ(owners, (std::vector<core::node_id>{core::node_id("a"),
-                                                  core::node_id("b")}));
+    ASSERT_EQ(owners.size(), 2U);
+    EXPECT_EQ(owners[0].node, core::node_id("a"));
+    EXPECT_EQ(owners[1].node, core::node_id("b"));
     EXPECT_EQ(choose_owners({candidate("x", 0.1, 200), candidate("y", 0.5, 10)})
                   .size(),
               2U);
     EXPECT_TRUE(choose_owners({}).empty());
 }
 
-TEST(owner_choice, a_large_fleet_has_a_few_watchers)
+TEST(peer_gossip, datagrams_arrive_as_they_were_sent)
+{
+    auto relay = gossip_datagram();
+    relay.kind = gossip_kind::relay;
+    relay.number = 7;
+    relay.sender = core::node_id("n1");
+    relay.status = std::string("\x00\xff", 2);
+    relay.target = {core::node_id("n2"), "127.0.0.1:1"};
+    EXPECT_EQ(decode_datagram(encode(relay)).value(), relay);
+    auto ping = gossip_datagram();
+    ping.message.updates.resize(2);
+    ping.message.updates[1].state = fleet::member_state::leaving;
+    EXPECT_EQ(decode_datagram(encode(ping)).value(), ping);
+    ping.kind = gossip_kind(9);
+    EXPECT_FALSE(decode_datagram(encode(ping)));
+}
+
+TEST(report_messages, are_read_from_earlier_versions)
+{
+    auto message = report_message();
+    message.service = serving::service_name("s");
+    message.leaving = core::upstream_id("u");
+    EXPECT_EQ(decode_reports(encode(std::vector{message})).value(),
+              std::vector{message});
+    // ["s", "r", true, false, 1] in MessagePack.
+    const auto old = std::string("\x91\x95\xa1s\xa1r\xc3\xc2\x01");
+    EXPECT_TRUE(decode_reports(old).value().at(0).leaving.empty());
+}
+
+class watcher_choice : public testing::Test
 {
-    auto owners = std::vector<core::node_id>();
-    for (auto number = 10; number < 40; ++number) {
-        owners.emplace_back("n" + std::to_string(number));
+protected:
+    watcher_choice()
+    {
+        for (auto number = 10; number < 40; ++number) {
+            this->owners.push_back(
+                {core::node_id("n" + std::to_string(number)),
+                 core::zone_name("z" + std::to_string(number / 10)),
+                 {}});
+        }
+    }
+    auto zone_of(const core::node_id& node) -> core::zone_name
+    {
+        const auto found = std::find_if(
+            this->owners.begin(), this->owners.end(),
+            [&node](const auto& owner) { return owner.node == node; });
+        return found->zone;
     }
-    EXPECT_TRUE(choose_watchers(owners, 12).empty());
-    const auto watchers = choose_watchers(owners, 84);
+
+    std::vector<owner_candidate> owners;
+};
+
+TEST_F(watcher_choice, a_large_fleet_has_a_few_of_all_zones)
+{
+    EXPECT_TRUE(choose_watchers(this->owners, 12).empty());
+    const auto watchers = choose_watchers(this->owners, 84);
     EXPECT_EQ(watchers.size(), 8U);
-    std::reverse(owners.begin(), owners.end());
-    EXPECT_EQ(choose_watchers(owners, 84), watchers);
+    auto by_zone = std::map<core::zone_name, int>();
+    for (const auto& watcher : watchers) {
+        ++by_zone[this->zone_of(watcher)];
+    }
+    ASSERT_EQ(by_zone.size(), 3U);
+    for (const auto& [zone, count] : by_zone) {
+        EXPECT_GE(count, 2) << zone.str();
+    }
+    std::reverse(this->owners.begin(), this->owners.end());
+    EXPECT_EQ(choose_watchers(this->owners, 84), watchers);
+}
+
+// Load pattern: each change reaches hundreds of nodes through few watchers.
+TEST_F(watcher_choice, nodes_spread_over_the_watchers)
+{
+    const auto watchers = choose_watchers(this->owners, 300);
+    auto listeners = std::map<core::node_id, int>();
+    constexpr auto nodes = 300;
+    for (auto number = 0; number < nodes; ++number) {
+        const auto self = core::node_id("m" + std::to_string(number));
+        const auto zone = core::zone_name("z" + std::to_string(1 + number % 3));
+        const auto sources = choose_sources(watchers, self, this->owners, zone);
+        ASSERT_EQ(sources.size(), 2U);
+        EXPECT_EQ(this->zone_of(sources[0]), zone);
+        for (const auto& source : sources) {
+            ++listeners[source];
+        }
+    }
+    for (const auto& watcher : watchers) {
+        EXPECT_LT(listeners[watcher], 2 * 2 * nodes / int(watchers.size()));
+        EXPECT_GT(listeners[watcher], 0);
+    }
+    EXPECT_EQ(choose_sources(watchers, watchers[0], this->owners,
+                             core::zone_name("z1"))
+                  .size(),
+              watchers.size() - 1)
+        << "a watcher hears all others";
 }
 
 TEST(directory_choice, names_the_callers_zone_first)
 {
+    auto random = core::random_source(1);
     const auto chosen =
         choose_fronts({{core::zone_name("a"), {"127.0.0.1", 1}},
                        {core::zone_name("b"), {"127.0.0.1", 2}},
                        {core::zone_name("a"), {"127.0.0.1", 3}}},
-                      core::zone_name("b"));
+                      core::zone_name("b"), random);
     ASSERT_EQ(chosen.size(), 3U);
     EXPECT_EQ(chosen[0].port, 2);
 }
 
+// Load pattern: more nodes than an answer names. In the order of their ids the
+// first ones of each zone got all callers, and the rest none.
+TEST(directory_choice, spreads_callers_over_a_fleet_of_any_size)
+{
+    for (const auto [nodes, zones] : {std::pair(6, 3), std::pair(71, 3),
+                                      std::pair(295, 5), std::pair(1000, 5)}) {
+        auto random = core::random_source(7);
+        auto ready = std::vector<front_node>();
+        for (auto number = 0; number < nodes; ++number) {
+            ready.push_back(
+                {core::zone_name("z" + std::to_string(number % zones)),
+                 {"127.0.0.1", std::uint16_t(1000 + number)}});
+        }
+        auto callers = std::map<std::uint16_t, double>();
+        const auto answers = 4000;
+        for (auto answer = 0; answer < answers; ++answer) {
+            const auto own = "z" + std::to_string(answer % zones);
+            const auto named =
+                choose_fronts(ready, core::zone_name(own), random);
+            ASSERT_EQ(named.size(), std::min<std::size_t>(nodes, 64));
+            auto unique = std::set<core::endpoint>(named.begin(), named.end());
+            EXPECT_EQ(unique.size(), named.size());
+            const auto remote =
+                std::count_if(named.begin(), named.end(), [&](const auto& one) {
+                    return (one.port - 1000) % zones != answer % zones;
+                });
+            EXPECT_GE(remote, std::min(nodes - nodes / zones - 1, 16));
+            for (const auto& address : named) {
+                callers[address.port] += 1.0 / double(named.size());
+            }
+        }
+        ASSERT_EQ(callers.size(), std::size_t(nodes));
+        for (const auto& [port, share] : callers) {
+            EXPECT_LT(share, 2.0 * answers / nodes) << nodes;
+        }
+    }
+}
+
 } // namespace almondtiller::gateway
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -37,6 +37,12 @@
         for (const auto& running : this->nodes) {
             this->wait_ready(*running);
         }
+        // Nodes register, and find each other, once they are ready.
+        const auto links = this->nodes.size() * (this->nodes.size() - 1);
+        EXPECT_TRUE(this->world.run_until([this, links]() {
+            return this->metric("almondtiller_gateway_peers_alive") ==
+                   double(links);
+        }));
     }
     ~whole_path_test() override
     {
@@ -457,5 +463,76 @@
     this->expect_no_faults();
 }
 
+/// More nodes than have connections to each other.
+class large_fleet_test : public whole_path_test
+{
+protected:
+    large_fleet_test()
+    {
+        while (this->nodes.size() < size) {
+            this->add_node(this->nodes.size() % 2 == 0 ? "a" : "b");
+        }
+        EXPECT_TRUE(this->wait_peers(size - 1));
+    }
+
+    /// Waits until each node sees that many others alive.
+    auto wait_peers(std::size_t others) -> bool
+    {
+        return this->world.run_until([this, others]() {
+            return this->metric("almondtiller_gateway_peers_alive") ==
+                   double(this->nodes.size() * others);
+        });
+    }
+
+    static constexpr auto size = std::size_t(20);
+};
+
+TEST_F(large_fleet_test, serves_and_knows_who_lives)
+{
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->ask("staged", at).status, 200);
+        EXPECT_EQ(this->ask("book", at).status, 200);
+    }
+    const auto gone = core::to_text(this->nodes.back()->settings.front);
+    this->nodes.pop_back();
+    ASSERT_TRUE(this->wait_peers(size - 2)) << "one has died";
+    auto& leaving = *this->nodes.back();
+    leaving.process->leave();
+    ASSERT_TRUE(this->world.run_until([&]() { return leaving.has_stopped; }));
+    const auto left = core::to_text(leaving.settings.front);
+    this->nodes.pop_back();
+    ASSERT_TRUE(this->wait_peers(size - 3)) << "one has left";
+    for (const auto& running : this->nodes) {
+        const auto answer = this->directory_answer(*running);
+        EXPECT_EQ(answer.find('"' + gone + '"'), std::string::npos);
+        EXPECT_EQ(answer.find('"' + left + '"'), std::string::npos);
+    }
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->ask("staged", at).status, 200);
+    }
+    this->expect_no_faults();
+}
+
+TEST_F(large_fleet_test, a_change_reaches_all_through_the_watchers)
+{
+    this->world.put_config({"key", "second"});
+    EXPECT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_configuration_version") ==
+               double(2 * this->nodes.size());
+    }));
+    // Owners are lost, and with them watchers.
+    this->nodes.erase(this->nodes.begin(), this->nodes.begin() + 6);
+    ASSERT_TRUE(this->wait_peers(this->nodes.size() - 1));
+    this->world.put_config({"third"});
+    EXPECT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_configuration_version") ==
+               double(3 * this->nodes.size());
+    }));
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->ask("staged", at, "third").status, 200);
+    }
+    this->expect_no_faults();
+}
+
 } // namespace
 } // namespace almondtiller::gateway
