Send a large configuration once, compressed, to nodes that can wait for it

A node that had missed versions was sent all of them, since the history of a kind of object kept each version of the one configuration: more than the 2 MiB that a message between nodes may have, so that it never got any. Beside that, a node asked another peer every 250 ms while an answer that takes a second of its link was under way, and gave it up after one second; links of 10 Mbit/s were full of answers that nobody took.

Change: the history keeps the newest state of an object only. Answers above 1 KiB are compressed for peers that say they read it (zlib) and kept for the next asker. A node waits longer before it asks one more peer after the second.

Not measured: each of the three changes alone.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -7,6 +7,7 @@
 pkg_check_modules(LIBUV REQUIRED IMPORTED_TARGET libuv)
 pkg_check_modules(TOMLPLUSPLUS REQUIRED IMPORTED_TARGET tomlplusplus)
 pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+find_package(ZLIB REQUIRED)
 find_path(NLOHMANN_JSON_INCLUDE_DIR nlohmann/json.hpp REQUIRED)
 find_path(XXHASH_INCLUDE_DIR xxhash.h REQUIRED)
 
--- a/src/services/gateway/fetch_pace.cpp
+++ b/src/services/gateway/fetch_pace.cpp
@@ -2,6 +2,8 @@
 
 #include "services/gateway/follower_limits.h"
 
+#include <algorithm>
+
 namespace almondtiller::gateway {
 
 auto fetch_pace::should_ask(std::int64_t own, core::milliseconds patience,
@@ -10,14 +12,19 @@
     if (this->had != own) {
         this->had = own;
         this->behind_since = now;
+        this->asks = 0;
     }
     // Other peers that know no more either don't make the node any less behind.
-    const auto waits = this->is_asking && now - this->asked < snapshot_patience;
+    const auto doublings =
+        std::clamp(this->asks - patient_asks, 0, most_patience_doublings);
+    const auto waits = this->is_asking &&
+                       now - this->asked < snapshot_patience * (1 << doublings);
     if (waits || now - this->behind_since < patience) {
         return false;
     }
     this->asked = now;
     this->is_asking = true;
+    ++this->asks;
     return true;
 }
 
--- a/src/services/gateway/fetch_pace.h
+++ b/src/services/gateway/fetch_pace.h
@@ -30,6 +30,8 @@
     core::time_point behind_since;
     core::time_point asked;
     bool is_asking = false;
+    /// Peers asked since this node has what it has.
+    int asks = 0;
 };
 
 } // namespace almondtiller::gateway
--- a/src/services/gateway/follower_limits.h
+++ b/src/services/gateway/follower_limits.h
@@ -6,16 +6,29 @@
 namespace almondtiller::gateway {
 
 inline constexpr auto snapshot_topic = "snapshot";
-inline constexpr auto snapshot_limit = core::milliseconds(1000);
+/// Longer than a megabyte takes over the slowest link beside requests.
+inline constexpr auto snapshot_limit = core::milliseconds(5000);
 /// A peer that has not answered by then is slow or gone, and the next one that
 /// knows more is asked as well: far above a round trip between zones, far
-/// below the time in which a configuration must be in force.
+/// below the time in which a configuration must be in force. After the third
+/// the time doubles with each, as answers that fill the link don't come sooner
+/// by more of them.
 inline constexpr auto snapshot_patience = core::milliseconds(250);
+inline constexpr auto patient_asks = 2;
+inline constexpr auto most_patience_doublings = 4;
 /// Asks for all objects instead of those that changed since a revision.
 inline constexpr auto whole_list = std::int64_t(-1);
 /// First byte of a snapshot's answer.
 inline constexpr auto changes_mark = 'c';
 inline constexpr auto page_mark = 'p';
+/// Stands before the compressed form of such an answer; sent to peers that
+/// have said with their question that they read it.
+inline constexpr auto packed_mark = 'z';
+inline constexpr auto reads_packed = " z";
+/// Smaller answers are sent as they are.
+inline constexpr auto least_packed = std::size_t(1024);
+/// Answers of one kind and revision that are kept for the next peer.
+inline constexpr auto most_snapshots = std::size_t(8);
 /// Pause between watches of upstreams and nodes, whose changes come together.
 inline constexpr auto batch_pause = core::milliseconds(150);
 /// The nodes' watches end that far apart, so that one of them asks anew about
--- /dev/null
+++ b/src/services/gateway/snapshot_codec.cpp
@@ -0,0 +1,80 @@
+#include "services/gateway/snapshot_codec.h"
+
+#include "fleet/fleet_errc.h"
+
+#include <zlib.h>
+
+#include <array>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+constexpr auto chunk_size = std::size_t(65536);
+
+/// Ends a stream of the library.
+struct inflating
+{
+    z_stream stream{};
+
+    inflating() = default;
+    inflating(const inflating&) = delete;
+    auto operator=(const inflating&) -> inflating& = delete;
+    ~inflating()
+    {
+        inflateEnd(&this->stream);
+    }
+};
+
+/// The library takes writable bytes, and only reads them.
+auto input_of(std::string_view bytes) -> Bytef*
+{
+    return reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
+}
+
+} // namespace
+
+auto pack(std::string_view text) -> core::result<std::string>
+{
+    auto size = compressBound(uLong(text.size()));
+    auto packed = std::string(size, '\0');
+    const auto status =
+        compress2(reinterpret_cast<Bytef*>(packed.data()), &size,
+                  input_of(text), uLong(text.size()), Z_BEST_SPEED);
+    if (status != Z_OK) {
+        return make_error_code(fleet::fleet_errc::message_too_large);
+    }
+    packed.resize(size);
+    return packed;
+}
+
+auto unpack(std::string_view bytes) -> core::result<std::string>
+{
+    const auto malformed =
+        make_error_code(fleet::fleet_errc::malformed_message);
+    auto inflater = inflating();
+    auto& stream = inflater.stream;
+    if (inflateInit(&stream) != Z_OK) {
+        return malformed;
+    }
+    stream.next_in = input_of(bytes);
+    stream.avail_in = uInt(bytes.size());
+    auto text = std::string();
+    auto chunk = std::array<char, chunk_size>();
+    auto status = Z_OK;
+    while (status == Z_OK) {
+        stream.next_out = reinterpret_cast<Bytef*>(chunk.data());
+        stream.avail_out = uInt(chunk.size());
+        status = inflate(&stream, Z_NO_FLUSH);
+        text.append(chunk.data(), chunk.size() - stream.avail_out);
+        if (text.size() > largest_snapshot) {
+            return malformed;
+        }
+    }
+    if (status != Z_STREAM_END || stream.avail_in != 0) {
+        return malformed;
+    }
+    return text;
+}
+
+} // namespace almondtiller::gateway
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -71,7 +71,11 @@
         char* rest = nullptr;
         const auto kind = std::strtoul(body.c_str(), &rest, 10);
         const auto since = std::strtoll(rest, nullptr, 10);
-        answer(kind < kinds ? this->encode_since(kind, since) : std::string());
+        const auto may_pack =
+            body.find(reads_packed, std::size_t(rest - body.c_str())) !=
+            std::string::npos;
+        answer(kind < kinds ? this->answer_since(kind, since, may_pack)
+                            : std::string());
         return std::function<void()>();
     });
 }
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -80,6 +80,9 @@
                                      bool follows) const -> core::milliseconds;
     [[nodiscard]] auto encode_since(std::size_t kind,
                                     std::int64_t revision) const -> std::string;
+    /// \param may_pack The asking node reads compressed answers.
+    auto answer_since(std::size_t kind, std::int64_t revision, bool may_pack)
+        -> std::string;
     auto take_snapshot(const core::node_id& peer, std::size_t kind,
                        const std::string& body) -> void;
 
@@ -93,6 +96,13 @@
     std::array<std::unique_ptr<store_mirror>, kinds> mirrors;
     std::array<fetch_pace, kinds> paces;
     fetch_pace configuration_pace;
+    /// Answers to other nodes, as most of them ask for the same.
+    struct snapshot_cache
+    {
+        std::int64_t revision = 0;
+        std::map<std::int64_t, std::string> by_since;
+    };
+    std::array<snapshot_cache, kinds> snapshots;
     adapter::node_entry own;
     std::uint64_t watches = 0;
     std::vector<core::node_id> watchers;
--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -193,6 +193,12 @@
             this->current[change.object.name] = change.object;
         }
         changes.push_back(change);
+        // The newest state of an object is all that others need; a
+        // configuration of a megabyte would otherwise be held, and sent, once
+        // for each of its versions.
+        std::erase_if(this->history, [&change](const auto& earlier) {
+            return earlier.object.name == change.object.name;
+        });
         this->history.push_back(change);
     }
     while (this->history.size() > longest_history) {
--- a/src/services/gateway/store_snapshots.cpp
+++ b/src/services/gateway/store_snapshots.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/adapter_errc.h"
 #include "services/gateway/follower_limits.h"
+#include "services/gateway/snapshot_codec.h"
 
 #include <algorithm>
 #include <set>
@@ -21,6 +22,37 @@
            adapter::encode_page(mirror.objects(), mirror.revision());
 }
 
+auto store_follower::answer_since(std::size_t kind, std::int64_t since,
+                                  bool may_pack) -> std::string
+{
+    if (!may_pack) {
+        return this->encode_since(kind, since);
+    }
+    const auto revision = this->mirrors[kind]->revision();
+    auto& made = this->snapshots[kind];
+    if (made.revision != revision) {
+        made.revision = revision;
+        made.by_since.clear();
+    }
+    const auto found = made.by_since.find(since);
+    if (found != made.by_since.end()) {
+        return found->second;
+    }
+    auto text = this->encode_since(kind, since);
+    if (text.size() >= least_packed) {
+        if (const auto packed = pack(text)) {
+            text = packed_mark + packed.value();
+        } else {
+            this->log.write(severity::notice, "snapshot_not_packed",
+                            {{"error", packed.error().message()}});
+        }
+    }
+    if (made.by_since.size() < most_snapshots) {
+        made.by_since[since] = text;
+    }
+    return text;
+}
+
 auto store_follower::patience_with(const core::node_id& peer,
                                    bool follows) const -> core::milliseconds
 {
@@ -66,7 +98,8 @@
 {
     this->mesh.call(
         peer, snapshot_topic,
-        std::to_string(kind) + " " + std::to_string(since), snapshot_limit,
+        std::to_string(kind) + " " + std::to_string(since) + reads_packed,
+        snapshot_limit,
         [this, peer, kind, since](const core::result<std::string>& answer) {
             (since == whole_list ? this->configuration_pace : this->paces[kind])
                 .on_answer();
@@ -85,6 +118,20 @@
 auto store_follower::take_snapshot(const core::node_id& peer, std::size_t kind,
                                    const std::string& body) -> void
 {
+    if (body.front() == packed_mark) {
+        const auto text = unpack(std::string_view(body).substr(1));
+        if (text && !text.value().empty() &&
+            text.value().front() != packed_mark) {
+            this->take_snapshot(peer, kind, text.value());
+        } else {
+            this->log.write(
+                severity::notice, "snapshot_unreadable",
+                {{"peer", peer.str()},
+                 {"kind", std::string(text_of(this->mirrors[kind]->kind()))},
+                 {"error", "not unpacked"}});
+        }
+        return;
+    }
     auto& mirror = *this->mirrors[kind];
     const auto had = mirror.revision();
     auto is_adopted = false;
--- a/tests/fakes/gateway_world/world.cpp
+++ b/tests/fakes/gateway_world/world.cpp
@@ -198,7 +198,8 @@
     this->store.remove("servers", id);
 }
 
-auto world::put_config(const std::vector<std::string>& keys) -> void
+auto world::put_config(const std::vector<std::string>& keys, int more_routes)
+    -> void
 {
     auto staged = route("staged", "streaming", "model", 1);
     staged["stages"] = json::array(
@@ -208,13 +209,17 @@
         json{{"name", "model"},
              {"maxConns", 100},
              {"engine", {{"slots", 32}, {"kvCapacityTokens", 100000}}}};
-    this->store.put("config", "main",
-                    {{"version", ++this->version},
-                     {"routes",
-                      {staged, route("stream", "streaming", "model", 1),
+    auto routes = json{staged, route("stream", "streaming", "model", 1),
                        route("resumable", "streaming", "model", 3),
                        route("read", "idempotent", "desk", 3),
-                       route("book", "non_idempotent", "desk", 1)}},
+                       route("book", "non_idempotent", "desk", 1)};
+    for (auto number = 0; number < more_routes; ++number) {
+        routes.push_back(route(("more" + std::to_string(number)).c_str(),
+                               "idempotent", "desk", 3));
+    }
+    this->store.put("config", "main",
+                    {{"version", ++this->version},
+                     {"routes", routes},
                      {"services",
                       {model,
                        stage_service("feed"),
--- a/tests/fakes/gateway_world/world.h
+++ b/tests/fakes/gateway_world/world.h
@@ -52,7 +52,9 @@
     auto crash_upstream(const std::string& id) -> void;
 
     /// Puts a configuration with the next version in force.
-    auto put_config(const std::vector<std::string>& keys) -> void;
+    /// \param more_routes Routes beside the usual ones.
+    auto put_config(const std::vector<std::string>& keys, int more_routes = 0)
+        -> void;
 
     core::runtime_clock clock;
     event::loop loop{clock};
--- a/tests/unit/gateway/fetch_pace_test.cpp
+++ b/tests/unit/gateway/fetch_pace_test.cpp
@@ -38,6 +38,18 @@
     EXPECT_EQ(asked, 2) << "another one each 250 ms, not all of them";
 }
 
+// Load pattern: a megabyte goes to all nodes over slow links. Asking anew four
+// times a second filled the links with answers that were given up.
+TEST_F(fetch_pace_test, asks_less_often_where_answers_take_long)
+{
+    auto asked = 0;
+    for (auto step = 0; step < 400; ++step) {
+        this->now += milliseconds(10);
+        asked += this->pace.should_ask(1, milliseconds(0), this->now) ? 1 : 0;
+    }
+    EXPECT_EQ(asked, 5) << "after 0, 250, 500, 1000 and 2000 ms";
+}
+
 TEST_F(fetch_pace_test, gives_an_own_watch_time_to_bring_the_change)
 {
     EXPECT_FALSE(this->pace.should_ask(1, silent_watch, this->now));
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -3,6 +3,7 @@
 #include "services/gateway/directory_choice.h"
 #include "services/gateway/owner_choice.h"
 #include "services/gateway/peer_gossip.h"
+#include "services/gateway/snapshot_codec.h"
 
 #include <gtest/gtest.h>
 
@@ -83,6 +84,7 @@
     static_cast<void>(decode_reports(bytes));
     static_cast<void>(decode_free(bytes));
     static_cast<void>(decode_datagram(bytes));
+    static_cast<void>(unpack(bytes));
 }
 
 // Load pattern: a large fleet of small machines beside a few large ones; the
@@ -122,6 +124,20 @@
     EXPECT_FALSE(decode_datagram(encode(ping)));
 }
 
+TEST(snapshot_codec, gives_back_what_was_packed)
+{
+    const auto text = std::string(300000, 'x') + "end";
+    const auto packed = pack(text).value();
+    EXPECT_LT(packed.size(), text.size() / 100);
+    EXPECT_EQ(unpack(packed).value(), text);
+    EXPECT_EQ(unpack(pack("").value()).value(), "");
+    EXPECT_FALSE(unpack(packed.substr(0, packed.size() - 1)));
+    EXPECT_FALSE(unpack(packed + "x"));
+    EXPECT_FALSE(unpack(""));
+    const auto bomb = pack(std::string(largest_snapshot + 1, 'x')).value();
+    EXPECT_FALSE(unpack(bomb)) << "it unpacks to more than is taken";
+}
+
 TEST(report_messages, are_read_from_earlier_versions)
 {
     auto message = report_message();
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -534,5 +534,25 @@
     this->expect_no_faults();
 }
 
+// Load pattern: the configuration has grown to more than half a megabyte, and
+// new versions come faster than all nodes have read the last one. All versions
+// that a node had missed were once sent to it, which was too much for a
+// message.
+TEST_F(large_fleet_test, a_large_configuration_that_changes_often_reaches_all)
+{
+    constexpr auto versions = 6;
+    for (auto number = 0; number < versions; ++number) {
+        this->world.put_config({"key", "k" + std::to_string(number)}, 4000);
+        this->world.run_for(core::milliseconds(30));
+    }
+    EXPECT_TRUE(this->world.run_until(
+        [this]() {
+            return this->metric("almondtiller_gateway_configuration_version") ==
+                   double((versions + 1) * this->nodes.size());
+        },
+        core::milliseconds(6000)));
+    EXPECT_EQ(this->ask("book", 3, "k5").status, 200);
+}
+
 } // namespace
 } // namespace almondtiller::gateway
