--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -11,8 +11,15 @@
 
 auto node::state::own_entry() const -> adapter::node_entry
 {
-    return {this->settings.node, this->settings.zone, this->settings.peers,
-            this->incarnation};
+    auto entry = adapter::node_entry();
+    entry.node = this->settings.node;
+    entry.zone = this->settings.zone;
+    entry.peers = this->settings.peers;
+    entry.incarnation = this->incarnation;
+    entry.front = this->settings.front;
+    entry.cores = this->settings.cores;
+    entry.link_mbps = this->settings.link_mbps;
+    return entry;
 }
 
 auto node::state::own_status() const -> node_status
@@ -34,10 +41,9 @@
 {
     auto view = node_view();
     view.is_ready = this->is_ready;
-    const auto peers = this->mesh.peers();
-    view.peers_alive = std::size_t(
-        std::count_if(peers.begin(), peers.end(),
-                      [](const auto& peer) { return peer.is_alive; }));
+    this->mesh.visit([&view](const auto& peer) {
+        view.peers_alive += peer.is_alive ? 1 : 0;
+    });
     view.requests_in_flight = std::size_t(
         std::count_if(this->flows.begin(), this->flows.end(),
                       [](const auto& flow) { return !flow.expired(); }));
@@ -48,6 +54,45 @@
     return view;
 }
 
+auto node::state::heed_hook() -> verdict_hook
+{
+    return [this](const auto& upstream, const auto& verdict) {
+        this->on_verdict(upstream, verdict);
+    };
+}
+
+auto node::state::on_verdict(const core::upstream_id& upstream,
+                             const serving::upstream_verdict& verdict) -> void
+{
+    if (verdict.hold_off.count() > 0) {
+        this->known.hold_off(upstream, this->owner.now() + verdict.hold_off);
+        this->log.write(severity::notice, "upstream_held_off",
+                        {{"upstream", upstream.str()},
+                         {"for_ms", ms_text(verdict.hold_off)}});
+    }
+    const auto entry = this->known.upstreams().find(upstream);
+    if (!verdict.is_leaving || entry == this->known.upstreams().end()) {
+        return;
+    }
+    const auto service = entry->second.upstream.service;
+    if (this->on_leaving(upstream, "answer")) {
+        this->client.report_leaving(service, upstream);
+    }
+}
+
+auto node::state::on_leaving(const core::upstream_id& upstream,
+                             std::string_view source) -> bool
+{
+    if (!this->known.mark_leaving(upstream)) {
+        return false;
+    }
+    this->log.write(
+        severity::notice, "upstream_leaving",
+        {{"upstream", upstream.str()}, {"source", std::string(source)}});
+    this->on_known_changed();
+    return true;
+}
+
 auto node::state::on_known_changed() -> void
 {
     this->local.refresh();
@@ -61,26 +106,58 @@
         return;
     }
     this->log.write(severity::notice, ready ? "ready" : "not_ready", {});
+    if (ready) {
+        this->mesh.join();
+        this->follower.announce();
+    }
     this->update_candidates();
     this->mesh.beat_now();
 }
 
-auto node::state::update_candidates() -> void
+auto node::state::visit_ready(
+    const std::function<void(const ready_node&)>& hook) const -> void
 {
-    auto live = std::vector<owner_candidate>();
     if (this->is_ready) {
-        live.push_back({this->settings.node, this->own_capacity()});
+        hook({this->settings.node, this->settings.zone, this->settings.front,
+              this->own_capacity()});
     }
-    for (const auto& peer : this->mesh.peers()) {
-        const auto status = this->peer_status.find(peer.entry.node);
-        if (peer.is_alive && status != this->peer_status.end() &&
-            status->second.is_ready) {
-            live.push_back({peer.entry.node, status->second.capacity});
+    this->mesh.visit([&](const peer_view& peer) {
+        if (!peer.is_alive) {
+            return;
         }
-    }
+        const auto& entry = peer.entry;
+        const auto found = this->peer_status.find(entry.node);
+        if (found != this->peer_status.end()) {
+            const auto& status = found->second;
+            if (status.is_ready) {
+                hook({entry.node, status.zone, status.front, status.capacity});
+            }
+        } else if (entry.front.port != 0) {
+            // Nodes register once they are ready.
+            hook({entry.node,
+                  entry.zone,
+                  entry.front,
+                  {entry.cores, entry.link_mbps}});
+        }
+    });
+}
+
+auto node::state::update_candidates() -> void
+{
+    auto live = std::vector<owner_candidate>();
+    this->visit_ready([&live](const ready_node& node) {
+        live.push_back({node.node, node.zone, node.capacity});
+    });
     const auto owners = choose_owners(live);
-    this->follower.set_watchers(choose_watchers(owners, live.size()));
-    this->client.set_candidates(owners);
+    const auto watchers = choose_watchers(owners, live.size());
+    this->follower.set_watchers(watchers);
+    this->mesh.set_pinned(choose_sources(watchers, this->settings.node, owners,
+                                         this->settings.zone));
+    auto names = std::vector<core::node_id>();
+    for (const auto& owner : owners) {
+        names.push_back(owner.node);
+    }
+    this->client.set_candidates(names);
 }
 
 auto node::state::on_peer_status(const core::node_id& peer,
@@ -94,7 +171,8 @@
         return;
     }
     auto& kept = this->peer_status[peer];
-    const auto is_turn = kept.is_ready != status.value().is_ready;
+    const auto is_turn = kept.is_ready != status.value().is_ready ||
+                         kept.capacity != status.value().capacity;
     kept = status.value();
     if (is_turn) {
         this->update_candidates();
@@ -112,6 +190,9 @@
     this->mesh.on_change([this]() { this->update_candidates(); });
     this->mesh.on_sender_lost(
         [this](const auto& peer) { this->local.drop_origin(peer); });
+    this->local.on_leaving([this](const auto& upstream) {
+        static_cast<void>(this->on_leaving(upstream, "peer"));
+    });
     serve_peers(this->mesh, this->local, this->owner, this->log);
     if (const auto error = this->mesh.listen()) {
         return error;
@@ -119,8 +200,7 @@
     if (const auto error = this->listen_all()) {
         return error;
     }
-    this->follower.start();
-    this->follower.announce(this->own_entry());
+    this->follower.start(this->own_entry());
     this->sweeper.start_repeating(sweep_interval, sweep_interval);
     return {};
 }
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -32,6 +32,15 @@
 inline constexpr auto unauthorized = 401;
 inline constexpr auto not_found = 404;
 
+/// A node that takes requests.
+struct ready_node
+{
+    core::node_id node;
+    core::zone_name zone;
+    core::endpoint front;
+    node_capacity capacity;
+};
+
 struct node::state
 {
     event::loop& owner;
@@ -75,12 +84,13 @@
                 {this->settings.retry_ratio * own_share_of_budget,
                  this->settings.retry_extra * own_share_of_budget,
                  this->settings.retry_window, this->settings.cold_factor,
-                 this->settings.cold_extra}),
+                 this->settings.cold_extra},
+                this->heed_hook()),
           client(loop, this->settings.node, this->mesh, this->local, lines),
           follower(loop, this->pool, this->settings.store, this->known,
                    this->mesh, lines, [this]() { this->on_known_changed(); }),
           shared{loop,  this->known,   this->client, this->pool,
-                 lines, this->metrics, this->random},
+                 lines, this->metrics, this->random, this->heed_hook()},
           sweeper(loop, [this]() { this->sweep(); }),
           leaver(loop, [this]() { this->go_on_leaving(); }),
           ender(loop, [this]() { this->on_stopped(); })
@@ -100,8 +110,18 @@
     [[nodiscard]] auto own_status() const -> node_status;
     [[nodiscard]] auto own_capacity() const -> node_capacity;
     [[nodiscard]] auto view() const -> node_view;
+    [[nodiscard]] auto heed_hook() -> verdict_hook;
+    auto on_verdict(const core::upstream_id& upstream,
+                    const serving::upstream_verdict& verdict) -> void;
+    /// \param source Who has said it, for the log.
+    /// \return Whether that is news.
+    auto on_leaving(const core::upstream_id& upstream, std::string_view source)
+        -> bool;
     auto on_known_changed() -> void;
     auto update_ready() -> void;
+    /// Calls \a hook with each node that takes requests, as far as known.
+    auto visit_ready(const std::function<void(const ready_node&)>& hook) const
+        -> void;
     auto update_candidates() -> void;
     auto on_peer_status(const core::node_id& peer, const std::string& text)
         -> void;
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -25,7 +25,8 @@
                    peer_mesh& mesh, event_log& log,
                    std::function<void()> on_changed);
 
-    auto start() -> void;
+    /// \param entry How this node will announce itself.
+    auto start(const adapter::node_entry& entry) -> void;
 
     /// \return The revision of each kind, by object_kind.
     [[nodiscard]] auto revisions() const -> std::vector<std::int64_t>;
@@ -51,7 +52,7 @@
     [[nodiscard]] auto is_complete() const -> bool;
 
     /// Registers this node, again until it has worked.
-    auto announce(const adapter::node_entry& entry) -> void;
+    auto announce() -> void;
     /// Takes the own registration back.
     auto withdraw(const core::node_id& node) -> void;
 
@@ -73,8 +74,15 @@
                     std::int64_t since) -> void;
     auto put_entry(bool exists) -> void;
     auto update_following() -> void;
+    /// \return How long to wait for others before a peer that knows more is
+    ///         asked.
+    [[nodiscard]] auto patience_with(const core::node_id& peer,
+                                     bool follows) const -> core::milliseconds;
     [[nodiscard]] auto encode_since(std::size_t kind,
                                     std::int64_t revision) const -> std::string;
+    /// \param may_pack The asking node reads compressed answers.
+    auto answer_since(std::size_t kind, std::int64_t revision, bool may_pack)
+        -> std::string;
     auto take_snapshot(const core::node_id& peer, std::size_t kind,
                        const std::string& body) -> void;
 
@@ -88,6 +96,13 @@
     std::array<std::unique_ptr<store_mirror>, kinds> mirrors;
     std::array<fetch_pace, kinds> paces;
     fetch_pace configuration_pace;
+    /// Answers to other nodes, as most of them ask for the same.
+    struct snapshot_cache
+    {
+        std::int64_t revision = 0;
+        std::map<std::int64_t, std::string> by_since;
+    };
+    std::array<snapshot_cache, kinds> snapshots;
     adapter::node_entry own;
     std::uint64_t watches = 0;
     std::vector<core::node_id> watchers;
--- a/src/services/gateway/store_snapshots.cpp
+++ b/src/services/gateway/store_snapshots.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/adapter_errc.h"
 #include "services/gateway/follower_limits.h"
+#include "services/gateway/snapshot_codec.h"
 
 #include <algorithm>
 #include <set>
@@ -21,6 +22,46 @@
            adapter::encode_page(mirror.objects(), mirror.revision());
 }
 
+auto store_follower::answer_since(std::size_t kind, std::int64_t since,
+                                  bool may_pack) -> std::string
+{
+    if (!may_pack) {
+        return this->encode_since(kind, since);
+    }
+    const auto revision = this->mirrors[kind]->revision();
+    auto& made = this->snapshots[kind];
+    if (made.revision != revision) {
+        made.revision = revision;
+        made.by_since.clear();
+    }
+    const auto found = made.by_since.find(since);
+    if (found != made.by_since.end()) {
+        return found->second;
+    }
+    auto text = this->encode_since(kind, since);
+    if (text.size() >= least_packed) {
+        if (const auto packed = pack(text)) {
+            text = packed_mark + packed.value();
+        } else {
+            this->log.write(severity::notice, "snapshot_not_packed",
+                            {{"error", packed.error().message()}});
+        }
+    }
+    if (made.by_since.size() < most_snapshots) {
+        made.by_since[since] = text;
+    }
+    return text;
+}
+
+auto store_follower::patience_with(const core::node_id& peer,
+                                   bool follows) const -> core::milliseconds
+{
+    if (!this->mesh.is_connected(peer)) {
+        return stranger_patience;
+    }
+    return follows ? silent_watch : core::milliseconds(0);
+}
+
 auto store_follower::on_peer_revisions(
     const core::node_id& peer, const std::vector<std::int64_t>& revisions)
     -> void
@@ -31,7 +72,8 @@
         auto& mirror = *this->mirrors[kind];
         const auto own = mirror.revision();
         if (revisions[kind] > own &&
-            this->paces[kind].should_ask(own, mirror.is_following(), now)) {
+            this->paces[kind].should_ask(
+                own, this->patience_with(peer, mirror.is_following()), now)) {
             this->fetch_from(peer, kind, own);
         }
     }
@@ -45,7 +87,8 @@
     const auto kind = index_of(adapter::object_kind::configurations);
     const auto follows = this->mirrors[kind]->is_following();
     if (version > own &&
-        this->configuration_pace.should_ask(own, follows, this->owner.now())) {
+        this->configuration_pace.should_ask(
+            own, this->patience_with(peer, follows), this->owner.now())) {
         this->fetch_from(peer, kind, whole_list);
     }
 }
@@ -55,7 +98,8 @@
 {
     this->mesh.call(
         peer, snapshot_topic,
-        std::to_string(kind) + " " + std::to_string(since), snapshot_limit,
+        std::to_string(kind) + " " + std::to_string(since) + reads_packed,
+        snapshot_limit,
         [this, peer, kind, since](const core::result<std::string>& answer) {
             (since == whole_list ? this->configuration_pace : this->paces[kind])
                 .on_answer();
@@ -74,6 +118,20 @@
 auto store_follower::take_snapshot(const core::node_id& peer, std::size_t kind,
                                    const std::string& body) -> void
 {
+    if (body.front() == packed_mark) {
+        const auto text = unpack(std::string_view(body).substr(1));
+        if (text && !text.value().empty() &&
+            text.value().front() != packed_mark) {
+            this->take_snapshot(peer, kind, text.value());
+        } else {
+            this->log.write(
+                severity::notice, "snapshot_unreadable",
+                {{"peer", peer.str()},
+                 {"kind", std::string(text_of(this->mirrors[kind]->kind()))},
+                 {"error", "not unpacked"}});
+        }
+        return;
+    }
     auto& mirror = *this->mirrors[kind];
     const auto had = mirror.revision();
     auto is_adopted = false;
@@ -109,9 +167,8 @@
     }
 }
 
-auto store_follower::announce(const adapter::node_entry& entry) -> void
+auto store_follower::announce() -> void
 {
-    this->own = entry;
     this->put_entry(false);
 }
 
--- a/tests/fakes/gateway_world/world.h
+++ b/tests/fakes/gateway_world/world.h
@@ -46,11 +46,15 @@
     /// Registers an upstream's state anew.
     auto register_upstream(const fake_upstream& upstream,
                            const std::string& state) -> void;
+    /// Registers an upstream as started anew under its id.
+    auto register_restart(const fake_upstream& upstream) -> void;
     /// Ends an upstream as a crash does, and removes its entry.
     auto crash_upstream(const std::string& id) -> void;
 
     /// Puts a configuration with the next version in force.
-    auto put_config(const std::vector<std::string>& keys) -> void;
+    /// \param more_routes Routes beside the usual ones.
+    auto put_config(const std::vector<std::string>& keys, int more_routes = 0)
+        -> void;
 
     core::runtime_clock clock;
     event::loop loop{clock};
@@ -59,6 +63,8 @@
     std::map<std::string, std::unique_ptr<fake_upstream>> upstreams;
 
 private:
+    /// Starts of each upstream before the current one.
+    std::map<std::string, std::int64_t> starts;
     int version = 0;
     std::int64_t beats = 0;
 };
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace almondtiller::gateway {
 namespace {
 
@@ -35,6 +37,12 @@
         for (const auto& running : this->nodes) {
             this->wait_ready(*running);
         }
+        // Nodes register, and find each other, once they are ready.
+        const auto links = this->nodes.size() * (this->nodes.size() - 1);
+        EXPECT_TRUE(this->world.run_until([this, links]() {
+            return this->metric("almondtiller_gateway_peers_alive") ==
+                   double(links);
+        }));
     }
     ~whole_path_test() override
     {
@@ -138,6 +146,17 @@
         return record;
     }
 
+    /// \return What has reached an upstream since \a begin.
+    auto arrivals_since(core::time_point begin, const std::string& upstream)
+        -> std::size_t
+    {
+        const auto& all = this->world.journal.arrivals;
+        return std::size_t(
+            std::count_if(all.begin(), all.end(), [&](const auto& record) {
+                return record.upstream == upstream && record.at >= begin;
+            }));
+    }
+
     auto expect_no_faults() -> void
     {
         EXPECT_EQ(this->caller.faults(), std::vector<std::string>());
@@ -271,6 +290,74 @@
     this->expect_no_faults();
 }
 
+TEST_F(whole_path_test, sends_nothing_to_an_upstream_that_says_it_leaves)
+{
+    // Its next answer is the first to tell.
+    EXPECT_EQ(this->ask("stream").status, 200);
+    const auto model = this->world.journal.runs.back().upstream;
+    this->world.upstreams[model]->set_leaving(true);
+    this->world.upstreams["desk-a"]->set_leaving(true);
+    const auto ask_all = [this]() {
+        for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+            EXPECT_EQ(this->ask("book", at).status, 200);
+            EXPECT_EQ(this->ask("stream", at).status, 200);
+            EXPECT_EQ(this->ask("staged", at).status, 200);
+        }
+    };
+    const auto begin = this->world.clock.now();
+    ASSERT_TRUE(this->world.run_until([&]() {
+        ask_all();
+        return this->arrivals_since(begin, "desk-a") > 0 &&
+               this->arrivals_since(begin, model) > 0;
+    }));
+    // The owner tells nobody, but places nothing there any more.
+    this->world.run_for(core::milliseconds(100));
+    const auto known = this->world.clock.now();
+    for (auto round = 0; round < 8; ++round) {
+        ask_all();
+    }
+    EXPECT_EQ(this->arrivals_since(known, "desk-a"), 0U);
+    EXPECT_EQ(this->arrivals_since(known, model), 0U);
+    this->expect_no_faults();
+}
+
+TEST_F(whole_path_test, a_restarted_upstream_has_left_no_more)
+{
+    auto& desk = *this->world.upstreams["desk-a"];
+    desk.set_leaving(true);
+    this->world.upstreams["desk-b"]->set_mode(upstream_mode::full);
+    EXPECT_EQ(this->ask("book").status, 200);
+    EXPECT_EQ(this->ask("book").status, 503) << "none is left";
+    desk.set_leaving(false);
+    this->world.register_restart(desk);
+    EXPECT_TRUE(this->world.run_until(
+        [this]() { return this->ask("book").status == 200; }));
+}
+
+TEST_F(whole_path_test, leaves_an_upstream_alone_for_as_long_as_it_asks)
+{
+    for (const auto* name : {"desk-a", "feed-a", "model1-a"}) {
+        this->world.upstreams[name]->set_mode(upstream_mode::full);
+        this->world.upstreams[name]->set_hold_off("1.5");
+    }
+    const auto begin = this->world.clock.now();
+    while (this->world.clock.now() - begin < core::milliseconds(1400)) {
+        EXPECT_EQ(this->ask("book").status, 200);
+        EXPECT_EQ(this->ask("stream").status, 200);
+        EXPECT_EQ(this->ask("staged").status, 200);
+    }
+    // Two may reach it from a node; all but the first were on their way.
+    EXPECT_LE(this->arrivals_since(begin, "desk-a"), 2U);
+    EXPECT_LE(this->arrivals_since(begin, "feed-a"), 2U);
+    EXPECT_LE(this->arrivals_since(begin, "model1-a"), 2U);
+    this->world.upstreams["desk-a"]->set_mode(upstream_mode::works);
+    EXPECT_TRUE(this->world.run_until([&]() {
+        this->ask("book");
+        return this->arrivals_since(begin, "desk-a") > 2;
+    })) << "it is used again afterwards";
+    this->expect_no_faults();
+}
+
 TEST_F(whole_path_test, sends_nothing_to_draining_upstreams_or_evacuated_zones)
 {
     this->world.register_upstream(*this->world.upstreams["desk-a"], "draining");
@@ -376,5 +463,96 @@
     this->expect_no_faults();
 }
 
+/// More nodes than have connections to each other.
+class large_fleet_test : public whole_path_test
+{
+protected:
+    large_fleet_test()
+    {
+        while (this->nodes.size() < size) {
+            this->add_node(this->nodes.size() % 2 == 0 ? "a" : "b");
+        }
+        EXPECT_TRUE(this->wait_peers(size - 1));
+    }
+
+    /// Waits until each node sees that many others alive.
+    auto wait_peers(std::size_t others) -> bool
+    {
+        return this->world.run_until([this, others]() {
+            return this->metric("almondtiller_gateway_peers_alive") ==
+                   double(this->nodes.size() * others);
+        });
+    }
+
+    static constexpr auto size = std::size_t(20);
+};
+
+TEST_F(large_fleet_test, serves_and_knows_who_lives)
+{
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->ask("staged", at).status, 200);
+        EXPECT_EQ(this->ask("book", at).status, 200);
+    }
+    const auto gone = core::to_text(this->nodes.back()->settings.front);
+    this->nodes.pop_back();
+    ASSERT_TRUE(this->wait_peers(size - 2)) << "one has died";
+    auto& leaving = *this->nodes.back();
+    leaving.process->leave();
+    ASSERT_TRUE(this->world.run_until([&]() { return leaving.has_stopped; }));
+    const auto left = core::to_text(leaving.settings.front);
+    this->nodes.pop_back();
+    ASSERT_TRUE(this->wait_peers(size - 3)) << "one has left";
+    for (const auto& running : this->nodes) {
+        const auto answer = this->directory_answer(*running);
+        EXPECT_EQ(answer.find('"' + gone + '"'), std::string::npos);
+        EXPECT_EQ(answer.find('"' + left + '"'), std::string::npos);
+    }
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->ask("staged", at).status, 200);
+    }
+    this->expect_no_faults();
+}
+
+TEST_F(large_fleet_test, a_change_reaches_all_through_the_watchers)
+{
+    this->world.put_config({"key", "second"});
+    EXPECT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_configuration_version") ==
+               double(2 * this->nodes.size());
+    }));
+    // Owners are lost, and with them watchers.
+    this->nodes.erase(this->nodes.begin(), this->nodes.begin() + 6);
+    ASSERT_TRUE(this->wait_peers(this->nodes.size() - 1));
+    this->world.put_config({"third"});
+    EXPECT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_configuration_version") ==
+               double(3 * this->nodes.size());
+    }));
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->ask("staged", at, "third").status, 200);
+    }
+    this->expect_no_faults();
+}
+
+// Load pattern: the configuration has grown to more than half a megabyte, and
+// new versions come faster than all nodes have read the last one. All versions
+// that a node had missed were once sent to it, which was too much for a
+// message.
+TEST_F(large_fleet_test, a_large_configuration_that_changes_often_reaches_all)
+{
+    constexpr auto versions = 6;
+    for (auto number = 0; number < versions; ++number) {
+        this->world.put_config({"key", "k" + std::to_string(number)}, 4000);
+        this->world.run_for(core::milliseconds(30));
+    }
+    EXPECT_TRUE(this->world.run_until(
+        [this]() {
+            return this->metric("almondtiller_gateway_configuration_version") ==
+                   double((versions + 1) * this->nodes.size());
+        },
+        core::milliseconds(6000)));
+    EXPECT_EQ(this->ask("book", 3, "k5").status, 200);
+}
+
 } // namespace
 } // namespace almondtiller::gateway
