Cut answers that never end; register again where the store does not answer

Cause: bytes that are no answer may come without end. Bodies of plain answers and stage calls, an event that never ends, and what the store sends were collected without any bound until the deadline; calls that free results and those that register a node had no deadline at all. So a store that took the registration and never answered it left the node unknown to all others.

Change: a call has a largest body (1 MiB unless the caller says otherwise; a page or watch of the store 16 MiB) and, where nothing else ends it, a longest time. An event may have 256 KiB.

Tests: whole_path_test cuts_answers_that_never_end (plain, model and stage upstreams; all connections are closed, the sum of bytes is bounded) and registers_again_where_the_store_has_not_answered.

--- a/src/libs/http1/client_connection.cpp
+++ b/src/libs/http1/client_connection.cpp
@@ -44,8 +44,11 @@
 }
 
 auto client_connection::call(std::string request, bool has_no_body,
-                             call_hooks called) -> void
+                             call_hooks called, std::uint64_t largest_body)
+    -> void
 {
+    this->body_bytes = 0;
+    this->most_body_bytes = largest_body;
     this->hooks = std::make_shared<const call_hooks>(std::move(called));
     this->parser = std::make_unique<response_parser>(
         response_parser::hooks{[this](response_head head) {
@@ -61,15 +64,30 @@
                                    }
                                },
                                [this](std::string_view bytes) {
-                                   const auto kept = this->hooks;
-                                   if (kept && kept->on_body) {
-                                       kept->on_body(bytes);
-                                   }
+                                   this->on_body(bytes);
                                }},
         has_no_body);
     this->stream->write(std::move(request));
 }
 
+auto client_connection::on_body(std::string_view bytes) -> void
+{
+    this->body_bytes += bytes.size();
+    if (this->is_too_large()) {
+        return;
+    }
+    const auto kept = this->hooks;
+    if (kept && kept->on_body) {
+        kept->on_body(bytes);
+    }
+}
+
+auto client_connection::is_too_large() const -> bool
+{
+    return this->most_body_bytes != 0 &&
+           this->body_bytes > this->most_body_bytes;
+}
+
 auto client_connection::on_bytes(std::string_view bytes) -> void
 {
     const auto self = this->shared_from_this();
@@ -82,6 +100,10 @@
     if (!this->stream->is_open()) {
         return;
     }
+    if (this->is_too_large()) {
+        this->finish(http1_errc::body_too_large);
+        return;
+    }
     if (this->parser->is_complete()) {
         if (error || this->stream->pending_bytes() > 0) {
             this->reusable = false;
--- a/src/libs/http1/client_connection.h
+++ b/src/libs/http1/client_connection.h
@@ -26,8 +26,10 @@
     auto start() -> void;
 
     /// Sends a request.
+    /// \param largest_body A longer body fails the call; 0: any length.
     /// \pre is_idle()
-    auto call(std::string request, bool has_no_body, call_hooks hooks) -> void;
+    auto call(std::string request, bool has_no_body, call_hooks hooks,
+              std::uint64_t largest_body = 0) -> void;
 
     /// Gives the call up and closes; no hook is called any more.
     auto cancel() -> void;
@@ -48,11 +50,15 @@
     auto on_bytes(std::string_view bytes) -> void;
     auto on_end(std::error_code error) -> void;
     auto finish(std::error_code error) -> void;
+    auto on_body(std::string_view bytes) -> void;
+    [[nodiscard]] auto is_too_large() const -> bool;
 
     std::shared_ptr<event::tcp_stream> stream;
     std::unique_ptr<response_parser> parser;
     std::shared_ptr<const call_hooks> hooks;
     std::chrono::seconds idle_limit{0};
+    std::uint64_t body_bytes = 0;
+    std::uint64_t most_body_bytes = 0;
     bool reusable = true;
 };
 
--- a/src/libs/http1/client_pool.cpp
+++ b/src/libs/http1/client_pool.cpp
@@ -87,9 +87,10 @@
 {
     auto call = std::make_shared<pooled_call>();
     this->started.push_back(call);
+    this->limit(call, options.longest, hooks);
     if (auto kept = this->take_idle(target.key, options.longest_idle)) {
         call->connection = std::move(kept);
-        this->send(call, target.key, std::move(request), options.has_no_body,
+        this->send(call, target.key, std::move(request), options,
                    std::move(hooks));
         return call;
     }
@@ -111,15 +112,14 @@
             call->connection =
                 std::make_shared<client_connection>(std::move(stream));
             call->connection->start();
-            this->send(call, key, std::move(text), options.has_no_body,
-                       std::move(called));
+            this->send(call, key, std::move(text), options, std::move(called));
         });
     return call;
 }
 
 auto client_pool::send(const std::shared_ptr<pooled_call>& call,
                        const std::string& key, std::string request,
-                       bool has_no_body, pool_hooks hooks) -> void
+                       const call_options& options, pool_hooks hooks) -> void
 {
     auto connection = call->connection;
     auto called = call_hooks();
@@ -134,7 +134,33 @@
         }
         done(error, true);
     };
-    connection->call(std::move(request), has_no_body, std::move(called));
+    connection->call(std::move(request), options.has_no_body, std::move(called),
+                     options.largest_body);
+}
+
+auto client_pool::limit(const std::shared_ptr<pooled_call>& call,
+                        core::milliseconds longest, pool_hooks& hooks) -> void
+{
+    if (longest.count() == 0) {
+        return;
+    }
+    const auto done = hooks.on_done;
+    call->limit = std::make_unique<event::timer>(
+        this->owner, [weak = std::weak_ptr<pooled_call>(call), done]() {
+            const auto open = weak.lock();
+            if (open && !open->is_over) {
+                open->cancel();
+                done(http1_errc::timed_out, true);
+            }
+        });
+    call->limit->start(longest);
+    hooks.on_done = [weak = std::weak_ptr<pooled_call>(call),
+                     done](std::error_code error, bool sent) {
+        if (const auto open = weak.lock()) {
+            open->limit->stop();
+        }
+        done(error, sent);
+    };
 }
 
 auto client_pool::sweep(
--- a/src/libs/http1/client_pool.h
+++ b/src/libs/http1/client_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "event/loop.h"
+#include "event/timer.h"
 #include "http1/client_connection.h"
 
 #include <map>
@@ -27,6 +28,11 @@
     /// them just as the call is sent.
     core::milliseconds longest_idle{3000};
     bool has_no_body = false;
+    /// A longer body fails the call; 0: any length, for bodies that are passed
+    /// on as they come.
+    std::uint64_t largest_body = std::uint64_t(1) << 20U;
+    /// The call fails after that time, 0: it has no limit of its own.
+    core::milliseconds longest{0};
 
     auto operator==(const call_options&) const -> bool = default;
 };
@@ -52,6 +58,7 @@
 private:
     friend class client_pool;
     std::shared_ptr<client_connection> connection;
+    std::unique_ptr<event::timer> limit;
     bool is_over = false;
 };
 
@@ -86,7 +93,10 @@
     auto take_idle(const std::string& key, core::milliseconds longest_idle)
         -> std::shared_ptr<client_connection>;
     auto send(const std::shared_ptr<pooled_call>& call, const std::string& key,
-              std::string request, bool has_no_body, pool_hooks hooks) -> void;
+              std::string request, const call_options& options,
+              pool_hooks hooks) -> void;
+    auto limit(const std::shared_ptr<pooled_call>& call,
+               core::milliseconds longest, pool_hooks& hooks) -> void;
 
     event::loop& owner;
     std::map<std::string, std::vector<idle_connection>> idle;
--- a/src/services/gateway/flow_limits.h
+++ b/src/services/gateway/flow_limits.h
@@ -35,6 +35,12 @@
 /// A send with less time left than that can't end in time.
 inline constexpr auto least_time_left = core::milliseconds(20);
 
+/// Longest answer that is held until it is whole, and longest event of a
+/// stream: an upstream that sends without end must not use up the memory of a
+/// small machine, which holds some hundred answers at once.
+inline constexpr auto largest_answer = std::size_t(1) << 20U;
+inline constexpr auto largest_event = std::size_t(1) << 18U;
+
 inline constexpr auto bad_gateway = 502;
 inline constexpr auto unavailable = 503;
 inline constexpr auto gateway_timeout = 504;
--- a/src/services/gateway/follower_limits.h
+++ b/src/services/gateway/follower_limits.h
@@ -47,6 +47,7 @@
 inline constexpr auto distrust_time = core::milliseconds(2500);
 inline constexpr auto expiry_interval = core::milliseconds(200);
 inline constexpr auto announce_retry = core::milliseconds(500);
+inline constexpr auto announce_limit = core::milliseconds(2000);
 
 inline auto index_of(adapter::object_kind kind) -> std::size_t
 {
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -47,6 +47,10 @@
     options.connect_limit = connect_limit;
     options.longest_idle = this->is_repeatable() ? safe_idle : unsafe_idle;
     options.has_no_body = this->request.method == "HEAD";
+    if (this->route.kind == serving::route_kind::streaming) {
+        // Events are passed on as they come; see pass_events().
+        options.largest_body = 0;
+    }
     const auto self = this->shared_from_this();
     auto hooks = http1::pool_hooks();
     hooks.on_head = [self](http1::response_head answer) {
@@ -97,14 +101,23 @@
 {
     if (this->is_stream) {
         this->pass_events(bytes);
-    } else {
-        this->body += bytes;
+        return;
+    }
+    this->body += bytes;
+    if (this->body.size() > largest_answer && this->call) {
+        std::exchange(this->call, nullptr)->cancel();
+        this->on_broken(http1::http1_errc::body_too_large, true);
     }
 }
 
 auto request_flow::pass_events(std::string_view bytes) -> void
 {
     const auto whole = this->events.feed(bytes);
+    if (this->events.rest().size() > largest_event && this->call) {
+        std::exchange(this->call, nullptr)->cancel();
+        this->on_broken(http1::http1_errc::body_too_large, true);
+        return;
+    }
     if (whole.empty()) {
         return;
     }
--- a/src/services/gateway/stage_dispatcher.cpp
+++ b/src/services/gateway/stage_dispatcher.cpp
@@ -307,6 +307,7 @@
         };
         auto options = http1::call_options();
         options.connect_limit = connect_limit;
+        options.longest = longest_call;
         this->pool.call(
             {id.str(), held->first},
             adapter::encode_free_call(held->first, id, held->second), options,
--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -95,8 +95,11 @@
         this->active.reset();
         done(error ? failure_status : *status, std::move(*body));
     };
+    auto options = http1::call_options();
+    // A page is a megabyte; what a watch has seen may be some objects of that.
+    options.largest_body = std::uint64_t(16) << 20U;
     this->active = this->pool.call({"store", this->store}, std::move(request),
-                                   {}, std::move(called_back));
+                                   options, std::move(called_back));
 }
 
 auto store_mirror::list(const std::string& after) -> void
--- a/src/services/gateway/store_snapshots.cpp
+++ b/src/services/gateway/store_snapshots.cpp
@@ -10,6 +10,19 @@
 
 namespace almondtiller::gateway {
 
+namespace {
+
+/// The store may answer nothing at all, and a node that others don't know
+/// gets no callers.
+auto registration_options() -> http1::call_options
+{
+    auto options = http1::call_options();
+    options.longest = announce_limit;
+    return options;
+}
+
+} // namespace
+
 auto store_follower::encode_since(std::size_t kind, std::int64_t since) const
     -> std::string
 {
@@ -199,7 +212,7 @@
                     exists
                         ? adapter::encode_replace(this->store, kind, name, body)
                         : adapter::encode_create(this->store, kind, name, body),
-                    {}, std::move(hooks));
+                    registration_options(), std::move(hooks));
 }
 
 auto store_follower::withdraw(const core::node_id& node) -> void
@@ -216,7 +229,7 @@
     this->pool.call({"store", this->store},
                     adapter::encode_remove(
                         this->store, adapter::object_kind::nodes, node.str()),
-                    {}, std::move(hooks));
+                    registration_options(), std::move(hooks));
 }
 
 } // namespace almondtiller::gateway
--- a/tests/fakes/gateway_world/fake_store.cpp
+++ b/tests/fakes/gateway_world/fake_store.cpp
@@ -227,6 +227,10 @@
                           const std::shared_ptr<http1::exchange>& exchange)
     -> void
 {
+    if (this->mode == store_mode::silent_to_writes) {
+        this->ignored.push_back(exchange);
+        return;
+    }
     auto status = 200;
     if (request.method == "DELETE") {
         status = this->has(kind, name) ? 200 : 404;
--- a/tests/fakes/gateway_world/fake_store.h
+++ b/tests/fakes/gateway_world/fake_store.h
@@ -19,9 +19,10 @@
 enum class store_mode
 {
     serves,
-    busy,   ///< 503 to everything.
-    silent, ///< Never answers; nothing is done.
-    loses,  ///< Does what is asked and never answers writes.
+    busy,             ///< 503 to everything.
+    silent,           ///< Never answers; nothing is done.
+    loses,            ///< Does what is asked and never answers writes.
+    silent_to_writes, ///< Answers reads; writes are not done, or answered.
 };
 
 /// A stand-in of the platform's object store: lists in pages, watches,
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -153,6 +153,11 @@
         exchange->respond(503, std::move(headers), "");
         return;
     }
+    if (this->mode == upstream_mode::endless) {
+        exchange->start(200, this->answer_head(id), std::nullopt);
+        this->send_endless(exchange);
+        return;
+    }
     if (request.target == "/almondtiller/stage-free") {
         this->free_results(request, exchange);
         return;
@@ -186,6 +191,22 @@
     }
 }
 
+auto fake_upstream::send_endless(
+    const std::shared_ptr<http1::exchange>& exchange) -> void
+{
+    if (exchange->is_finished()) {
+        return;
+    }
+    constexpr auto chunk = std::size_t(1) << 16U;
+    constexpr auto most_pending = chunk * 4;
+    if (exchange->pending_bytes() < most_pending) {
+        this->journal.endless_bytes += chunk;
+        exchange->send(std::string(chunk, 'x'));
+    }
+    this->after(core::milliseconds(1),
+                [this, exchange]() { this->send_endless(exchange); });
+}
+
 auto fake_upstream::check_inputs(const http1::request_message& request,
                                  const std::string& id) -> int
 {
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -18,6 +18,7 @@
     hangs,      ///< Takes requests and never answers.
     breaks_off, ///< Cuts answers in the middle.
     full,       ///< Turns everything away as not run.
+    endless,    ///< Begins an answer and sends bytes until it is cut.
 };
 
 /// What an upstream has begun to run.
@@ -46,6 +47,8 @@
     std::vector<run_record> arrivals;
     std::map<std::string, stage_output> results;
     std::uint64_t stage_calls = 0;
+    /// Sent in answers that never end.
+    std::uint64_t endless_bytes = 0;
     std::uint64_t freed = 0;
     std::vector<std::string> faults;
     std::uint64_t last_handle = 0;
@@ -89,6 +92,8 @@
 private:
     auto on_request(const http1::request_message& request,
                     const std::shared_ptr<http1::exchange>& exchange) -> void;
+    /// Goes on until the caller closes, about 60 MB a second.
+    auto send_endless(const std::shared_ptr<http1::exchange>& exchange) -> void;
     auto run_stage(const http1::request_message& request,
                    const std::shared_ptr<http1::exchange>& exchange) -> void;
     auto free_results(const http1::request_message& request,
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -463,6 +463,41 @@
     this->expect_no_faults();
 }
 
+// Bytes that are no answer may come without end, until the caller closes.
+TEST_F(whole_path_test, cuts_answers_that_never_end)
+{
+    for (const auto* name : {"desk-a", "feed-a", "map-b", "model1-a"}) {
+        this->world.upstreams[name]->set_mode(upstream_mode::endless);
+    }
+    for (auto number = 0; number < 4; ++number) {
+        EXPECT_EQ(this->ask("read").status, 200) << "it goes to another";
+        const auto& booked = this->ask("book");
+        EXPECT_TRUE(booked.status == 200 || booked.status == 502);
+        EXPECT_EQ(this->ask("resumable").status, 200);
+        EXPECT_EQ(this->ask("staged").status, 200);
+    }
+    // Each is cut after a megabyte, and what had been sent until then.
+    const auto sent = this->world.journal.endless_bytes;
+    EXPECT_GT(sent, 0U);
+    EXPECT_LT(sent, std::uint64_t(64) << 20U);
+    this->world.run_for(core::milliseconds(300));
+    EXPECT_EQ(this->world.journal.endless_bytes, sent) << "all are closed";
+    this->expect_no_faults();
+}
+
+// A store that takes calls and never answers them.
+TEST_F(whole_path_test, registers_again_where_the_store_has_not_answered)
+{
+    this->world.store.set_mode(store_mode::silent_to_writes);
+    auto& late = this->add_node("b");
+    this->wait_ready(late);
+    this->world.run_for(core::milliseconds(200));
+    this->world.store.set_mode(store_mode::serves);
+    EXPECT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_peers_alive") == 12;
+    })) << "the others know the fourth";
+}
+
 /// More nodes than have connections to each other.
 class large_fleet_test : public whole_path_test
 {
