Give each zone of a large service an owner of its own

Cause: one owner carried all placements and stage calls of a service. At 295 nodes that is 660 placements a second with two reports each, and the pieces of 45 upstreams with all their handles, on half a core.

Change: a service with 24 upstreams or more has a shard in each zone, owned by a large node of that zone. A request has a home zone, by the part that its session shares, weighted by the upstreams that each zone has; its stages and its generation run there. The repeats beside the ratio are divided among the shards, so that their sum holds. Smaller services stay as they were. Counts by zone are kept until an upstream changes, where each request copied all upstreams of all its services before.

Ruled out: owners by single upstreams (a stage call is filled from all that waits, so that pieces must meet), a shard for services of few upstreams (one or two in a zone serve uneven load badly). Tests: serving_state_test a_large_service_has_a_shard_in_each_zone, large_fleet_test large_services_are_served_by_zone (also after the owners of a zone are lost). Open: no spill to another zone when one is overloaded; nodes that count 23 and 24 upstreams for a moment place on the same ones, as around a change of owners.

--- a/src/libs/dispatch/placement.cpp
+++ b/src/libs/dispatch/placement.cpp
@@ -55,6 +55,11 @@
     this->service = spec;
 }
 
+auto placement::set_retry_extra(double extra) -> void
+{
+    this->repeats.set_extra(extra);
+}
+
 auto placement::set_upstreams(const std::vector<known_upstream>& current)
     -> void
 {
--- a/src/libs/dispatch/placement.h
+++ b/src/libs/dispatch/placement.h
@@ -30,6 +30,8 @@
 {
     std::uint64_t ticket = 0;
     core::request_id request;
+    /// Whose shard of the service places it; empty: any.
+    core::zone_name zone;
     std::vector<serving::prompt_part> prompt;
     std::uint32_t output_tokens = 0;
     std::vector<zone_bytes> inputs;
@@ -92,6 +94,8 @@
     placement(serving::service service, placement_limits limits);
 
     auto set_service(const serving::service& service) -> void;
+    /// Changes how many repeats a window may have beside the ratio.
+    auto set_retry_extra(double extra) -> void;
     auto set_upstreams(const std::vector<known_upstream>& upstreams) -> void;
 
     /// Takes a request; its outcome comes from next().
--- a/src/libs/dispatch/repeat_budget.cpp
+++ b/src/libs/dispatch/repeat_budget.cpp
@@ -14,6 +14,11 @@
     : ratio(share), extra(constant), window(length)
 {}
 
+auto repeat_budget::set_extra(double constant) -> void
+{
+    this->extra = constant;
+}
+
 auto repeat_budget::current(core::time_point now) -> slice&
 {
     // A slice counts until all of it is out of the window.
--- a/src/libs/dispatch/repeat_budget.h
+++ b/src/libs/dispatch/repeat_budget.h
@@ -18,6 +18,8 @@
     /// \param extra Repeats beside the ratio in a window.
     repeat_budget(double ratio, double extra, core::duration window);
 
+    auto set_extra(double extra) -> void;
+
     /// Counts a first send.
     auto deposit(core::time_point now) -> void;
 
--- a/src/libs/dispatch/serving_state.cpp
+++ b/src/libs/dispatch/serving_state.cpp
@@ -5,6 +5,14 @@
 
 namespace almondtiller::dispatch {
 
+namespace {
+
+/// A service with fewer upstreams has one owner: a few upstreams in each zone
+/// serve uneven load better together.
+constexpr auto least_sharded = std::size_t(24);
+
+} // namespace
+
 auto known_upstream::cold_until() const -> core::time_point
 {
     return this->changed + this->upstream.cold_left;
@@ -25,6 +33,7 @@
 {
     const auto found = this->known.find(upstream.id);
     if (found == this->known.end()) {
+        this->last_census.reset();
         this->known.emplace(upstream.id,
                             known_upstream{upstream, beat, now, {}, false});
         return true;
@@ -38,6 +47,7 @@
     }
     if (upstream.started_ms != entry.upstream.started_ms) {
         entry.is_leaving = false;
+        this->last_census.reset();
         this->holds.erase(upstream.id);
     }
     const auto was_removed = entry.removal.has_value();
@@ -51,6 +61,7 @@
         return was_removed;
     }
     entry.upstream = upstream;
+    this->last_census.reset();
     entry.changed = now;
     return true;
 }
@@ -64,6 +75,7 @@
     }
     if (trusted || found->second.upstream.is_draining) {
         this->known.erase(found);
+        this->last_census.reset();
         return true;
     }
     if (!found->second.removal) {
@@ -92,6 +104,7 @@
 {
     std::erase_if(this->holds,
                   [now](const auto& hold) { return hold.second <= now; });
+    this->last_census.reset();
     return std::erase_if(this->known, [now](const auto& item) {
                return item.second.removal && *item.second.removal <= now;
            }) > 0;
@@ -100,6 +113,7 @@
 auto serving_state::mark_leaving(const core::upstream_id& id) -> bool
 {
     const auto found = this->known.find(id);
+    this->last_census.reset();
     return found != this->known.end() &&
            !std::exchange(found->second.is_leaving, true);
 }
@@ -137,6 +151,7 @@
         return false;
     }
     this->closed_zones = std::move(zones);
+    this->last_census.reset();
     return true;
 }
 
@@ -187,4 +202,78 @@
     return usable;
 }
 
+auto serving_state::usable(const shard& part) const
+    -> std::vector<known_upstream>
+{
+    auto usable = std::vector<known_upstream>();
+    for (const auto& [id, entry] : this->known) {
+        if (entry.upstream.service == part.service &&
+            part.covers(entry.upstream.zone) && this->is_usable(entry)) {
+            usable.push_back(entry);
+        }
+    }
+    return usable;
+}
+
+auto serving_state::counted() const -> const census&
+{
+    if (!this->last_census) {
+        auto& made = this->last_census.emplace();
+        for (const auto& [id, entry] : this->known) {
+            const auto& upstream = entry.upstream;
+            ++made.known[upstream.service];
+            made.zones[upstream.service].insert(upstream.zone);
+            made.by_address[upstream.address] = upstream.zone;
+            if (this->is_usable(entry)) {
+                ++made.usable[upstream.service][upstream.zone];
+            }
+        }
+    }
+    return *this->last_census;
+}
+
+auto serving_state::usable_zones(const serving::service_name& service) const
+    -> const std::map<core::zone_name, std::size_t>&
+{
+    static const auto none = std::map<core::zone_name, std::size_t>();
+    const auto& usable = this->counted().usable;
+    const auto found = usable.find(service);
+    return found == usable.end() ? none : found->second;
+}
+
+auto serving_state::shard_for(const serving::service_name& service,
+                              const core::zone_name& zone) const -> shard
+{
+    const auto& known_counts = this->counted().known;
+    const auto found = known_counts.find(service);
+    const auto is_large =
+        found != known_counts.end() && found->second >= least_sharded;
+    return {service, is_large ? zone : core::zone_name()};
+}
+
+auto serving_state::shards_of(const serving::service_name& service) const
+    -> std::vector<shard>
+{
+    auto shards = std::vector<shard>();
+    const auto& zones = this->counted().zones;
+    const auto found = zones.find(service);
+    if (found != zones.end()) {
+        for (const auto& zone : found->second) {
+            const auto part = this->shard_for(service, zone);
+            if (shards.empty() || shards.back() != part) {
+                shards.push_back(part);
+            }
+        }
+    }
+    return shards;
+}
+
+auto serving_state::zone_at(const core::endpoint& address) const
+    -> core::zone_name
+{
+    const auto& by_address = this->counted().by_address;
+    const auto found = by_address.find(address);
+    return found == by_address.end() ? core::zone_name() : found->second;
+}
+
 } // namespace almondtiller::dispatch
--- a/src/libs/dispatch/serving_state.h
+++ b/src/libs/dispatch/serving_state.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "core/clock.h"
+#include "dispatch/shard.h"
 #include "serving/configuration.h"
 #include "serving/upstream.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -91,10 +93,43 @@
     [[nodiscard]] auto usable(const serving::service_name& service) const
         -> std::vector<known_upstream>;
 
+    /// \return Those of them that belong to a shard.
+    [[nodiscard]] auto usable(const shard& part) const
+        -> std::vector<known_upstream>;
+
+    /// \return How many upstreams of a service may get new work, by zone.
+    [[nodiscard]] auto usable_zones(const serving::service_name& service) const
+        -> const std::map<core::zone_name, std::size_t>&;
+
+    /// \return The shard that does work for a zone: the zone's, or the whole
+    ///         service where that has few upstreams. Load pattern: the one
+    ///         owner of a service with hundreds of upstreams has no processor
+    ///         time left in a burst, and all requests wait for it.
+    [[nodiscard]] auto shard_for(const serving::service_name& service,
+                                 const core::zone_name& zone) const -> shard;
+
+    /// \return The shards of a service.
+    [[nodiscard]] auto shards_of(const serving::service_name& service) const
+        -> std::vector<shard>;
+
+    /// \return The zone of the upstream at an address, empty if it is unknown.
+    [[nodiscard]] auto zone_at(const core::endpoint& address) const
+        -> core::zone_name;
+
     /// \return Whether \a id may get new work.
     [[nodiscard]] auto is_usable(const core::upstream_id& id) const -> bool;
 
 private:
+    /// What is counted over all upstreams, until one of them changes.
+    struct census
+    {
+        std::map<serving::service_name, std::map<core::zone_name, std::size_t>>
+            usable;
+        std::map<serving::service_name, std::set<core::zone_name>> zones;
+        std::map<serving::service_name, std::size_t> known;
+        std::map<core::endpoint, core::zone_name> by_address;
+    };
+    [[nodiscard]] auto counted() const -> const census&;
     [[nodiscard]] auto is_usable(const known_upstream& known) const -> bool;
 
     std::shared_ptr<const serving::configuration> current;
@@ -102,6 +137,7 @@
     std::set<core::zone_name> closed_zones;
     /// Those that were told to be held off, some of them no longer.
     std::map<core::upstream_id, core::time_point> holds;
+    mutable std::optional<census> last_census;
 };
 
 } // namespace almondtiller::dispatch
--- /dev/null
+++ b/src/libs/dispatch/shard.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/ids.h"
+#include "serving/configuration.h"
+
+namespace almondtiller::dispatch {
+
+/// The part of a service that one node owns: its upstreams in one availability
+/// zone, or all of them where the service is small.
+struct shard
+{
+    serving::service_name service;
+    /// Empty: all zones.
+    core::zone_name zone;
+
+    auto operator==(const shard&) const -> bool = default;
+    auto operator<=>(const shard&) const = default;
+
+    /// \return Whether an upstream in \a where belongs to it.
+    [[nodiscard]] auto covers(const core::zone_name& where) const -> bool
+    {
+        return this->zone.empty() || this->zone == where;
+    }
+};
+
+} // namespace almondtiller::dispatch
--- a/src/services/gateway/dispatch_client.cpp
+++ b/src/services/gateway/dispatch_client.cpp
@@ -1,5 +1,6 @@
 #include "services/gateway/dispatch_client.h"
 
+#include "platform/stage_calls.h"
 #include "routing/rendezvous.h"
 #include "services/gateway/peer_topics.h"
 
@@ -30,41 +31,51 @@
 } // namespace
 
 dispatch_client::dispatch_client(event::loop& loop, core::node_id node,
-                                 peer_mesh& peers, dispatcher& own,
-                                 event_log& lines)
+                                 peer_mesh& peers,
+                                 const dispatch::serving_state& state,
+                                 dispatcher& own, event_log& lines)
     : owner(loop),
       self(std::move(node)),
       mesh(peers),
+      known(state),
       local(own),
       log(lines),
       report_timer(loop, [this]() { this->send_reports(); })
 {}
 
-auto dispatch_client::set_candidates(std::vector<core::node_id> nodes) -> void
+auto dispatch_client::set_candidates(std::vector<owner_candidate> nodes) -> void
 {
     if (nodes == this->candidates) {
         return;
     }
     this->candidates = std::move(nodes);
     for (auto& [request, entry] : this->placed) {
-        if (entry.owner != this->owner_of(entry.message.service)) {
+        const auto& message = entry.message;
+        if (entry.owner !=
+            this->owner_of(message.service, message.request.zone)) {
             this->announce(entry);
         }
     }
 }
 
-auto dispatch_client::owner_of(const serving::service_name& service) const
+auto dispatch_client::owner_of(const serving::service_name& service,
+                               const core::zone_name& zone) const
     -> core::node_id
 {
-    const auto key = routing::placement_hash(service.str());
+    const auto part = this->known.shard_for(service, zone);
+    const auto key =
+        part.zone.empty()
+            ? routing::placement_hash(service.str())
+            : routing::placement_hash(service.str() + "/" + part.zone.str());
     auto best = this->self;
-    auto best_weight = std::uint64_t(0);
-    for (const auto& node : this->candidates) {
+    auto best_rank = std::pair(false, std::uint64_t(0));
+    for (const auto& candidate : this->candidates) {
+        const auto is_near = !part.zone.empty() && candidate.zone == part.zone;
         const auto weight = routing::rendezvous_weight(
-            key, routing::placement_hash(node.str()));
-        if (weight > best_weight) {
-            best = node;
-            best_weight = weight;
+            key, routing::placement_hash(candidate.node.str()));
+        if (std::pair(is_near, weight) > best_rank) {
+            best = candidate.node;
+            best_rank = {is_near, weight};
         }
     }
     return best;
@@ -72,7 +83,7 @@
 
 auto dispatch_client::choose_owner(pending& item) -> void
 {
-    auto chosen = this->owner_of(item.service);
+    auto chosen = this->owner_of(item.service, item.zone);
     const auto is_lost = chosen == item.owner || !this->mesh.is_alive(chosen);
     if (item.attempts >= most_owners ||
         (chosen != this->self && item.attempts > 0 && is_lost)) {
@@ -96,12 +107,14 @@
 }
 
 auto dispatch_client::begin(const serving::service_name& service,
+                            const core::zone_name& zone,
                             std::function<void(std::uint64_t)> submit)
     -> std::uint64_t
 {
     const auto number = ++this->last_number;
     auto& item = this->work[number];
     item.service = service;
+    item.zone = zone;
     item.submit = [number, submit = std::move(submit)]() {
         submit(number);
     };
@@ -115,10 +128,12 @@
                                 dispatch::stage_work stage_work,
                                 dispatcher::stage_done done) -> std::uint64_t
 {
-    return this->begin(service, [this, kept = std::move(stage_work),
-                                 done = std::move(done)](std::uint64_t number) {
-        this->submit_stage(number, kept, done);
-    });
+    const auto zone = stage_work.zone;
+    return this->begin(service, zone,
+                       [this, kept = std::move(stage_work),
+                        done = std::move(done)](std::uint64_t number) {
+                           this->submit_stage(number, kept, done);
+                       });
 }
 
 auto dispatch_client::submit_stage(std::uint64_t number,
@@ -168,8 +183,9 @@
                             dispatch::placement_request request,
                             dispatcher::place_done done) -> std::uint64_t
 {
+    const auto zone = request.zone;
     return this->begin(
-        service,
+        service, zone,
         [this, message = place_message{service, std::move(request), {}},
          done = std::move(done)](std::uint64_t number) {
             this->submit_place(number, message, done);
@@ -244,7 +260,8 @@
 
 auto dispatch_client::announce(active& entry) -> void
 {
-    const auto node = this->owner_of(entry.message.service);
+    const auto node =
+        this->owner_of(entry.message.service, entry.message.request.zone);
     entry.owner = node;
     if (node == this->self) {
         this->local.submit_placement(entry.message, this->self,
@@ -264,11 +281,10 @@
     this->queue_report({service, request, true, false, {}, {}});
 }
 
-auto dispatch_client::report_leaving(const serving::service_name& service,
-                                     const core::upstream_id& upstream) -> void
+auto dispatch_client::report_leaving(const serving::upstream& upstream) -> void
 {
-    this->queue_report(this->owner_of(service),
-                       {service, {}, false, false, {}, upstream});
+    this->queue_report(this->owner_of(upstream.service, upstream.zone),
+                       {upstream.service, {}, false, false, {}, upstream.id});
 }
 
 auto dispatch_client::report_ended(const serving::service_name& service,
@@ -315,16 +331,24 @@
 auto dispatch_client::free_results(const serving::service_name& service,
                                    std::vector<std::string> handles) -> void
 {
-    const auto node = this->owner_of(service);
-    if (node == this->self) {
-        this->local.free_results(service, handles);
-        return;
+    auto by_owner = std::map<core::node_id, std::vector<std::string>>();
+    for (auto& handle : handles) {
+        const auto holder = adapter::result_holder(handle);
+        const auto zone =
+            holder ? this->known.zone_at(*holder) : core::zone_name();
+        by_owner[this->owner_of(service, zone)].push_back(std::move(handle));
+    }
+    for (auto& [node, held] : by_owner) {
+        if (node == this->self) {
+            this->local.free_results(service, held);
+            continue;
+        }
+        this->mesh.call(node, free_topic,
+                        encode(free_message{service, std::move(held)}),
+                        report_limit, [](const auto&) {
+                            // Results end by themselves after their lifetime.
+                        });
     }
-    this->mesh.call(node, free_topic,
-                    encode(free_message{service, std::move(handles)}),
-                    report_limit, [](const auto&) {
-                        // Results end by themselves after their lifetime.
-                    });
 }
 
 } // namespace almondtiller::gateway
--- a/src/services/gateway/dispatch_client.h
+++ b/src/services/gateway/dispatch_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "services/gateway/dispatcher.h"
+#include "services/gateway/owner_choice.h"
 #include "services/gateway/peer_mesh.h"
 
 #include <functional>
@@ -9,19 +10,23 @@
 
 namespace almondtiller::gateway {
 
-/// Brings work to the node that owns a service, wherever that is: the live
-/// node with the largest rendezvous weight for it. When the owner is lost,
+/// Brings work to the node that owns a shard of a service, wherever that is:
+/// the live node with the largest rendezvous weight for it, one of the shard's
+/// zone if there is any. When the owner is lost,
 /// the work goes to the next one, and running requests are announced there.
 class dispatch_client
 {
 public:
     dispatch_client(event::loop& owner, core::node_id self, peer_mesh& mesh,
-                    dispatcher& local, event_log& log);
+                    const dispatch::serving_state& known, dispatcher& local,
+                    event_log& log);
 
     /// \param candidates Nodes that may own services.
-    auto set_candidates(std::vector<core::node_id> candidates) -> void;
+    auto set_candidates(std::vector<owner_candidate> candidates) -> void;
 
-    [[nodiscard]] auto owner_of(const serving::service_name& service) const
+    /// \return The owner of the shard that does work for a zone.
+    [[nodiscard]] auto owner_of(const serving::service_name& service,
+                                const core::zone_name& zone) const
         -> core::node_id;
 
     /// Has pieces done.
@@ -46,9 +51,8 @@
                       const core::request_id& request, dispatch::work_end how)
         -> void;
 
-    /// Tells the owner of \a service that an upstream is about to end.
-    auto report_leaving(const serving::service_name& service,
-                        const core::upstream_id& upstream) -> void;
+    /// Tells the owner of an upstream that it is about to end.
+    auto report_leaving(const serving::upstream& upstream) -> void;
 
     auto free_results(const serving::service_name& service,
                       std::vector<std::string> handles) -> void;
@@ -57,6 +61,7 @@
     struct pending
     {
         serving::service_name service;
+        core::zone_name zone;
         core::node_id owner;
         /// Carries the work to the owner; again after its loss.
         std::function<void()> submit;
@@ -73,6 +78,7 @@
     /// \param submit Carries the work to its owner, again after its loss.
     /// \return The work's number.
     auto begin(const serving::service_name& service,
+               const core::zone_name& zone,
                std::function<void(std::uint64_t)> submit) -> std::uint64_t;
     auto submit_stage(std::uint64_t number, const dispatch::stage_work& work,
                       const dispatcher::stage_done& done) -> void;
@@ -89,9 +95,10 @@
     event::loop& owner;
     core::node_id self;
     peer_mesh& mesh;
+    const dispatch::serving_state& known;
     dispatcher& local;
     event_log& log;
-    std::vector<core::node_id> candidates;
+    std::vector<owner_candidate> candidates;
     std::map<std::uint64_t, pending> work;
     std::map<core::request_id, active> placed;
     std::map<core::node_id, std::vector<report_message>> reports;
--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -74,9 +74,9 @@
     if (!verdict.is_leaving || entry == this->known.upstreams().end()) {
         return;
     }
-    const auto service = entry->second.upstream.service;
+    const auto leaving = entry->second.upstream;
     if (this->on_leaving(upstream, "answer")) {
-        this->client.report_leaving(service, upstream);
+        this->client.report_leaving(leaving);
     }
 }
 
@@ -153,11 +153,7 @@
     this->follower.set_watchers(watchers);
     this->mesh.set_pinned(choose_sources(watchers, this->settings.node, owners,
                                          this->settings.zone));
-    auto names = std::vector<core::node_id>();
-    for (const auto& owner : owners) {
-        names.push_back(owner.node);
-    }
-    this->client.set_candidates(names);
+    this->client.set_candidates(owners);
 }
 
 auto node::state::on_peer_status(const core::node_id& peer,
--- a/src/services/gateway/peer_messages.cpp
+++ b/src/services/gateway/peer_messages.cpp
@@ -86,6 +86,7 @@
         excluded.push_back(id.str());
     }
     return {{"id", request.request.str()},
+            {"zone", request.zone.str()},
             {"prompt", prompt_to_json(request.prompt)},
             {"output", request.output_tokens},
             {"inputs", inputs},
@@ -101,6 +102,8 @@
 {
     auto request = dispatch::placement_request();
     request.request = core::request_id(value.at("id").get<std::string>());
+    // Earlier versions of the program have one owner a service.
+    request.zone = core::zone_name(value.value("zone", std::string()));
     for (const auto& part : value.at("prompt")) {
         request.prompt.push_back(
             {part.at(0).get<std::string>(), part.at(1).get<std::uint32_t>()});
--- a/src/services/gateway/placement_dispatcher.cpp
+++ b/src/services/gateway/placement_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "services/gateway/placement_dispatcher.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace almondtiller::gateway {
@@ -24,32 +25,48 @@
       schedule(std::move(ask_for_pump))
 {}
 
-auto placement_dispatcher::find(const serving::service_name& name)
-    -> placed_service*
+auto placement_dispatcher::find(const dispatch::shard& part) -> placed_service*
 {
-    const auto found = this->services.find(name);
-    if (found != this->services.end()) {
+    const auto found = this->parts.find(part);
+    if (found != this->parts.end()) {
         return found->second.get();
     }
-    const auto* spec = this->known.find_service(name);
+    const auto* spec = this->known.find_service(part.service);
     if (spec == nullptr) {
         return nullptr;
     }
     auto made = std::make_shared<placed_service>(
         placed_service{dispatch::placement(*spec, this->limits), {}, {}});
     auto* result = made.get();
-    this->services[name] = std::move(made);
+    this->parts[part] = std::move(made);
     this->refresh();
     return result;
 }
 
+auto placement_dispatcher::find(const serving::service_name& service,
+                                const core::request_id& request)
+    -> part_map::iterator
+{
+    return std::find_if(this->parts.begin(), this->parts.end(),
+                        [&](const auto& item) {
+                            return item.first.service == service &&
+                                   item.second->entries.contains(request);
+                        });
+}
+
 auto placement_dispatcher::refresh() -> void
 {
-    for (auto& [name, service] : this->services) {
-        if (const auto* spec = this->known.find_service(name)) {
+    for (auto& [part, service] : this->parts) {
+        if (const auto* spec = this->known.find_service(part.service)) {
             service->places.set_service(*spec);
         }
-        service->places.set_upstreams(this->known.usable(name));
+        // The owners of all shards together keep to the budget.
+        const auto shards =
+            part.zone.empty() ? 1 : this->known.shards_of(part.service).size();
+        service->places.set_retry_extra(
+            this->limits.retry_extra /
+            double(std::max<std::size_t>(shards, 1)));
+        service->places.set_upstreams(this->known.usable(part));
     }
 }
 
@@ -57,9 +74,9 @@
 {
     auto is_waiting = false;
     // Callbacks may add services.
-    const auto current = this->services;
-    for (const auto& [name, service] : current) {
-        this->pump(name, *service);
+    const auto current = this->parts;
+    for (const auto& [part, service] : current) {
+        this->pump(part, *service);
         is_waiting = is_waiting || service->places.waiting() > 0;
     }
     return is_waiting;
@@ -69,7 +86,8 @@
                                   const core::node_id& origin, place_done done)
     -> void
 {
-    auto* service = this->find(message.service);
+    auto* service = this->find(
+        this->known.shard_for(message.service, message.request.zone));
     if (service == nullptr) {
         auto refusal = dispatch::placement_outcome();
         refusal.status = dispatch::placement_status::refused;
@@ -99,7 +117,7 @@
     this->schedule();
 }
 
-auto placement_dispatcher::pump(const serving::service_name& name,
+auto placement_dispatcher::pump(const dispatch::shard& part,
                                 placed_service& service) -> void
 {
     for (const auto& outcome : service.places.next(this->owner.now())) {
@@ -110,7 +128,7 @@
         auto& decided = service.entries[request->second];
         const auto done = std::exchange(decided.done, nullptr);
         if (outcome.status != dispatch::placement_status::granted) {
-            this->log_refusal(name, service, request->second, decided,
+            this->log_refusal(part, service, request->second, decided,
                               outcome.status);
             service.entries.erase(request->second);
             service.requests.erase(request);
@@ -121,7 +139,7 @@
     }
 }
 
-auto placement_dispatcher::log_refusal(const serving::service_name& name,
+auto placement_dispatcher::log_refusal(const dispatch::shard& part,
                                        const placed_service& service,
                                        const core::request_id& request,
                                        const entry& refused,
@@ -133,13 +151,14 @@
     this->log.write(
         severity::failure, "placement_refused",
         {{"request", request.str()},
-         {"service", name.str()},
+         {"service", part.service.str()},
+         {"zone", part.zone.str()},
          {"reason", is_budget ? "repeat_budget_spent" : "no_room_in_time"},
          {"waited_ms", ms_text(now - refused.submitted)},
          {"left_ms", ms_text(refused.deadline - now)},
          {"waiting", std::to_string(service.places.waiting())},
          {"running", std::to_string(service.requests.size())},
-         {"upstreams", std::to_string(this->known.usable(name).size())}});
+         {"upstreams", std::to_string(this->known.usable(part).size())}});
 }
 
 auto placement_dispatcher::end(placed_service& service,
@@ -159,8 +178,8 @@
 auto placement_dispatcher::cancel(const serving::service_name& name,
                                   const core::request_id& request) -> void
 {
-    const auto found = this->services.find(name);
-    if (found != this->services.end()) {
+    const auto found = this->find(name, request);
+    if (found != this->parts.end()) {
         this->end(*found->second, request, dispatch::work_end::given_up);
     }
 }
@@ -168,27 +187,24 @@
 auto placement_dispatcher::add_loads(
     std::map<serving::service_name, service_load>& loads) const -> void
 {
-    for (const auto& [name, service] : this->services) {
-        auto& load = loads[name];
-        load.service = name;
-        load.placements_waiting = service->places.waiting();
-        load.requests_running = service->requests.size();
+    for (const auto& [part, service] : this->parts) {
+        auto& load = loads[part.service];
+        load.service = part.service;
+        load.placements_waiting += service->places.waiting();
+        load.requests_running += service->requests.size();
     }
 }
 
 auto placement_dispatcher::report(const report_message& message) -> void
 {
-    const auto found = this->services.find(message.service);
-    if (found == this->services.end()) {
+    const auto found = this->find(message.service, message.request);
+    if (found == this->parts.end()) {
         return;
     }
     auto& service = *found->second;
-    const auto entry = service.entries.find(message.request);
-    if (entry == service.entries.end()) {
-        return;
-    }
+    const auto ticket = service.entries[message.request].ticket;
     if (message.is_started) {
-        service.places.on_started(entry->second.ticket, this->owner.now());
+        service.places.on_started(ticket, this->owner.now());
     }
     if (message.is_ended) {
         this->end(service, message.request, message.how);
@@ -200,7 +216,7 @@
 
 auto placement_dispatcher::drop_origin(const core::node_id& origin) -> void
 {
-    for (auto& [name, service] : this->services) {
+    for (auto& [part, service] : this->parts) {
         auto lost = std::vector<core::request_id>();
         for (const auto& [request, entry] : service->entries) {
             if (entry.origin == origin) {
--- a/src/services/gateway/placement_dispatcher.h
+++ b/src/services/gateway/placement_dispatcher.h
@@ -63,11 +63,14 @@
         std::map<std::uint64_t, core::request_id> requests;
     };
 
-    auto find(const serving::service_name& name) -> placed_service*;
-    auto pump(const serving::service_name& name, placed_service& service)
-        -> void;
-    auto log_refusal(const serving::service_name& name,
-                     const placed_service& service,
+    using part_map = std::map<dispatch::shard, std::shared_ptr<placed_service>>;
+
+    auto find(const dispatch::shard& part) -> placed_service*;
+    /// \return The shard that has the request, the end if none has it.
+    auto find(const serving::service_name& service,
+              const core::request_id& request) -> part_map::iterator;
+    auto pump(const dispatch::shard& part, placed_service& service) -> void;
+    auto log_refusal(const dispatch::shard& part, const placed_service& service,
                      const core::request_id& request, const entry& refused,
                      dispatch::placement_status status) -> void;
     auto end(placed_service& service, const core::request_id& request,
@@ -78,7 +81,7 @@
     event_log& log;
     dispatch::placement_limits limits;
     std::function<void()> schedule;
-    std::map<serving::service_name, std::shared_ptr<placed_service>> services;
+    part_map parts;
 };
 
 } // namespace almondtiller::gateway
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -39,7 +39,8 @@
          {"service", this->service.str()},
          {"upstream", granted.id.str()},
          {"zone", granted.zone.str()},
-         {"owner", this->shared.dispatch.owner_of(this->service).str()},
+         {"owner",
+          this->shared.dispatch.owner_of(this->service, this->zone).str()},
          {"attempt", std::to_string(this->attempts)},
          {"left_ms", ms_text(with.time_left)},
          {"elapsed_ms", this->elapsed_ms()}});
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -78,21 +78,23 @@
     for (const auto& stage : this->route.stages) {
         services.insert(stage.service);
     }
+    const auto& known = this->shared.known;
     auto shares = std::map<core::zone_name, double>();
-    for (const auto& known : this->shared.known.usable(this->service)) {
-        shares[known.upstream.zone] = 1.0;
+    for (const auto& [zone, count] : known.usable_zones(this->service)) {
+        shares[zone] = 1.0;
     }
     for (const auto& name : services) {
-        const auto usable = this->shared.known.usable(name);
-        for (auto& entry : shares) {
-            const auto here = std::count_if(
-                usable.begin(), usable.end(), [&entry](const auto& known) {
-                    return known.upstream.zone == entry.first;
-                });
+        const auto& zones = known.usable_zones(name);
+        auto total = std::size_t(0);
+        for (const auto& [zone, count] : zones) {
+            total += count;
+        }
+        for (auto& [zone, share] : shares) {
+            const auto found = zones.find(zone);
+            const auto here = found == zones.end() ? 0 : found->second;
             const auto part =
-                double(here) / double(std::max<std::size_t>(usable.size(), 1));
-            entry.second =
-                std::min(entry.second, std::max(part, least_zone_share));
+                double(here) / double(std::max<std::size_t>(total, 1));
+            share = std::min(share, std::max(part, least_zone_share));
         }
     }
     return shares;
@@ -127,6 +129,7 @@
     this->caller->on_gone([self]() { self->on_caller_gone(); });
     this->time_over.start(to_ms(this->deadline - this->shared.owner.now()));
     this->choose_service();
+    this->zone = this->home_zone();
     if (this->route.stages.empty()) {
         this->place(false);
         return;
@@ -134,7 +137,7 @@
     this->stages.emplace(this->route, this->request, *this->config,
                          this->due - usual_first_event,
                          this->deadline - usual_first_event, this->priority,
-                         this->home_zone());
+                         this->zone);
     this->run_stages();
 }
 
@@ -212,7 +215,11 @@
 auto request_flow::place(bool is_repeat) -> void
 {
     auto wanted = dispatch::placement_request();
+    if (!this->shared.known.usable_zones(this->service).contains(this->zone)) {
+        this->zone = this->home_zone();
+    }
     wanted.request = this->request.id;
+    wanted.zone = this->zone;
     wanted.prompt = this->request.prompt;
     wanted.output_tokens = this->request.expected_output_tokens > 0
                                ? this->request.expected_output_tokens
@@ -231,11 +238,10 @@
         const auto sizes = this->stages->input_bytes();
         for (auto index = std::size_t(0); index < handles.size(); ++index) {
             const auto holder = adapter::result_holder(handles[index]);
-            for (const auto& [id, known] : this->shared.known.upstreams()) {
-                if (holder && known.upstream.address == *holder) {
-                    wanted.inputs.push_back(
-                        {known.upstream.zone, sizes[index]});
-                }
+            const auto at = holder ? this->shared.known.zone_at(*holder)
+                                   : core::zone_name();
+            if (!at.empty()) {
+                wanted.inputs.push_back({at, sizes[index]});
             }
         }
     }
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -93,6 +93,8 @@
     core::workspace_name workspace;
     int priority = 0;
     serving::service_name service;
+    /// Where its stages and its generation run, by what they share with others.
+    core::zone_name zone;
     core::time_point accepted;
     core::time_point due;
     core::time_point deadline;
--- a/src/services/gateway/stage_dispatcher.cpp
+++ b/src/services/gateway/stage_dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "platform/upstream_messages.h"
 #include "services/gateway/flow_limits.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace almondtiller::gateway {
@@ -45,33 +46,33 @@
       heed(std::move(on_verdict))
 {}
 
-auto stage_dispatcher::find(const serving::service_name& name) -> stage_service*
+auto stage_dispatcher::find(const dispatch::shard& part) -> stage_service*
 {
-    const auto found = this->services.find(name);
-    if (found != this->services.end()) {
+    const auto found = this->parts.find(part);
+    if (found != this->parts.end()) {
         return found->second.get();
     }
-    const auto* spec = this->known.find_service(name);
+    const auto* spec = this->known.find_service(part.service);
     if (spec == nullptr || !spec->stages) {
         return nullptr;
     }
     auto made = std::make_shared<stage_service>(
         stage_service{dispatch::stage_queue(*spec->stages), {}, {}});
     auto* result = made.get();
-    this->services[name] = std::move(made);
+    this->parts[part] = std::move(made);
     this->refresh();
     return result;
 }
 
 auto stage_dispatcher::refresh() -> void
 {
-    for (auto& [name, service] : this->services) {
-        const auto* spec = this->known.find_service(name);
+    for (auto& [part, service] : this->parts) {
+        const auto* spec = this->known.find_service(part.service);
         if (spec != nullptr && spec->stages) {
             service->queue.set_pool(*spec->stages);
         }
         auto engines = std::vector<dispatch::stage_engine>();
-        for (const auto& upstream : this->known.usable(name)) {
+        for (const auto& upstream : this->known.usable(part)) {
             engines.push_back({upstream.upstream.id, upstream.upstream.address,
                                upstream.upstream.zone});
         }
@@ -83,11 +84,11 @@
 {
     auto is_active = false;
     // Callbacks may add services.
-    const auto current = this->services;
-    for (const auto& [name, service] : current) {
-        this->apply(name, *service, service->queue.on_time(this->owner.now()));
+    const auto current = this->parts;
+    for (const auto& [part, service] : current) {
+        this->apply(part, *service, service->queue.on_time(this->owner.now()));
         while (auto call = service->queue.next_call(this->owner.now())) {
-            this->send_call(name, *call);
+            this->send_call(part, *call);
         }
         is_active =
             is_active || !service->waiting.empty() || !service->calls.empty();
@@ -100,7 +101,8 @@
                               stage_done done) -> bool
 {
     work.ticket = ticket;
-    auto* service = this->find(name);
+    const auto part = this->known.shard_for(name, work.zone);
+    auto* service = this->find(part);
     if (service == nullptr) {
         auto failure = dispatch::stage_outcome();
         failure.status = dispatch::stage_status::failed;
@@ -115,7 +117,7 @@
     entry.submitted = now;
     entry.deadline = work.deadline;
     if (const auto refusal = service->queue.submit(std::move(work), now)) {
-        this->log_outcome(name, *service, entry, *refusal);
+        this->log_outcome(part, *service, entry, *refusal);
         done(*refusal);
         return false;
     }
@@ -128,14 +130,15 @@
 auto stage_dispatcher::cancel(const serving::service_name& name,
                               std::uint64_t ticket) -> void
 {
-    const auto found = this->services.find(name);
-    if (found != this->services.end()) {
-        found->second->waiting.erase(ticket);
-        this->apply(name, *found->second, found->second->queue.cancel(ticket));
+    for (auto& [part, service] : this->parts) {
+        if (part.service == name && service->waiting.erase(ticket) > 0) {
+            this->apply(part, *service, service->queue.cancel(ticket));
+            return;
+        }
     }
 }
 
-auto stage_dispatcher::send_call(const serving::service_name& name,
+auto stage_dispatcher::send_call(const dispatch::shard& part,
                                  const dispatch::stage_call& call) -> void
 {
     auto body = std::make_shared<std::string>();
@@ -153,37 +156,37 @@
     auto request = adapter::encode_stage_call(call.engine.address,
                                               call.engine.id, call.items);
     auto limit =
-        std::make_shared<event::timer>(this->owner, [this, name, call]() {
-            auto* service = this->find(name);
+        std::make_shared<event::timer>(this->owner, [this, part, call]() {
+            auto* service = this->find(part);
             if (service == nullptr) {
                 return;
             }
             const auto open = service->calls.find(call.id);
             if (open != service->calls.end()) {
                 open->second->cancel();
-                this->on_call_done(name, call, {}, "",
+                this->on_call_done(part, call, {}, "",
                                    std::make_error_code(std::errc::timed_out));
             }
         });
     limit->start(longest_call);
-    hooks.on_done = [this, name, call, body, verdict,
+    hooks.on_done = [this, part, call, body, verdict,
                      limit](std::error_code error, bool) {
         limit->stop();
-        this->on_call_done(name, call, *verdict, *body, error);
+        this->on_call_done(part, call, *verdict, *body, error);
     };
-    this->services[name]->calls[call.id] =
+    this->parts[part]->calls[call.id] =
         this->pool.call({call.engine.id.str(), call.engine.address},
                         std::move(request), options, std::move(hooks));
 }
 
-auto stage_dispatcher::on_call_done(const serving::service_name& name,
+auto stage_dispatcher::on_call_done(const dispatch::shard& part,
                                     const dispatch::stage_call& call,
                                     const serving::upstream_verdict& verdict,
                                     const std::string& body,
                                     std::error_code error) -> void
 {
-    const auto found = this->services.find(name);
-    if (found == this->services.end()) {
+    const auto found = this->parts.find(part);
+    if (found == this->parts.end()) {
         return;
     }
     auto& service = *found->second;
@@ -194,32 +197,32 @@
         if (const auto results =
                 adapter::decode_stage_results(body, call.items.size())) {
             this->apply(
-                name, service,
+                part, service,
                 service.queue.on_results(call.id, results.value(), now));
             this->schedule();
             return;
         }
     }
     this->log.write(severity::failure, "stage_call_failed",
-                    {{"service", name.str()},
+                    {{"service", part.service.str()},
                      {"upstream", call.engine.id.str()},
                      {"pieces", std::to_string(call.items.size())},
                      {"status", std::to_string(verdict.status)},
                      {"error", error ? error.message() : "none"}});
     constexpr auto full_status = 503;
-    this->apply(name, service,
+    this->apply(part, service,
                 service.queue.on_call_failed(
                     call.id, !error && verdict.status == full_status, now,
                     verdict.hold_off));
     this->schedule();
 }
 
-auto stage_dispatcher::apply(const serving::service_name& name,
+auto stage_dispatcher::apply(const dispatch::shard& part,
                              stage_service& service,
                              const dispatch::stage_effects& effects) -> void
 {
     if (!effects.unwanted.empty()) {
-        this->free_results(name, effects.unwanted);
+        this->free_results(part.service, effects.unwanted);
     }
     for (const auto& outcome : effects.outcomes) {
         const auto found = service.waiting.find(outcome.ticket);
@@ -228,12 +231,12 @@
         }
         const auto work = std::move(found->second);
         service.waiting.erase(found);
-        this->log_outcome(name, service, work, outcome);
+        this->log_outcome(part, service, work, outcome);
         work.done(outcome);
     }
 }
 
-auto stage_dispatcher::log_outcome(const serving::service_name& name,
+auto stage_dispatcher::log_outcome(const dispatch::shard& part,
                                    const stage_service& service,
                                    const waiting_work& work,
                                    const dispatch::stage_outcome& outcome)
@@ -241,29 +244,31 @@
 {
     const auto now = this->owner.now();
     const auto is_done = outcome.status == dispatch::stage_status::done;
-    this->metrics.record_stage(name, text_of(outcome.status),
+    this->metrics.record_stage(part.service, text_of(outcome.status),
                                now - work.submitted);
     this->log.write(
         is_done ? severity::detail : severity::failure,
         is_done ? "stage_done" : "stage_refused",
         {{"request", work.request.str()},
-         {"service", name.str()},
+         {"service", part.service.str()},
+         {"zone", part.zone.str()},
          {"reason", text_of(outcome.status)},
          {"waited_ms", ms_text(now - work.submitted)},
          {"left_ms", ms_text(work.deadline - now)},
          {"queue_ms", ms_text(service.queue.estimated_wait(now))},
          {"pieces_waiting", std::to_string(service.queue.waiting_pieces())},
-         {"upstreams", std::to_string(this->known.usable(name).size())}});
+         {"upstreams", std::to_string(this->known.usable(part).size())}});
 }
 
 auto stage_dispatcher::add_loads(
     std::map<serving::service_name, service_load>& loads) const -> void
 {
-    for (const auto& [name, service] : this->services) {
-        auto& load = loads[name];
-        load.service = name;
-        load.stage_pieces_waiting = service->queue.waiting_pieces();
-        load.stage_wait = service->queue.estimated_wait(this->owner.now());
+    for (const auto& [part, service] : this->parts) {
+        auto& load = loads[part.service];
+        load.service = part.service;
+        load.stage_pieces_waiting += service->queue.waiting_pieces();
+        load.stage_wait = std::max(
+            load.stage_wait, service->queue.estimated_wait(this->owner.now()));
     }
 }
 
@@ -272,7 +277,6 @@
     -> void
 {
     auto by_holder = std::map<core::endpoint, std::vector<std::string>>();
-    const auto service = this->services.find(name);
     for (const auto& handle : handles) {
         if (const auto holder = adapter::result_holder(handle)) {
             by_holder[*holder].push_back(handle);
@@ -288,7 +292,9 @@
             by_holder.erase(held);
             continue;
         }
-        if (service != this->services.end()) {
+        const auto service = this->parts.find(
+            this->known.shard_for(name, upstream.upstream.zone));
+        if (service != this->parts.end()) {
             for (const auto& handle : held->second) {
                 service->second->queue.on_freed(handle);
             }
--- a/src/services/gateway/stage_dispatcher.h
+++ b/src/services/gateway/stage_dispatcher.h
@@ -66,17 +66,17 @@
         std::map<std::uint64_t, std::shared_ptr<http1::pooled_call>> calls;
     };
 
-    auto find(const serving::service_name& name) -> stage_service*;
-    auto send_call(const serving::service_name& name,
+    auto find(const dispatch::shard& part) -> stage_service*;
+    auto send_call(const dispatch::shard& part,
                    const dispatch::stage_call& call) -> void;
-    auto on_call_done(const serving::service_name& name,
+    auto on_call_done(const dispatch::shard& part,
                       const dispatch::stage_call& call,
                       const serving::upstream_verdict& verdict,
                       const std::string& body, std::error_code error) -> void;
-    auto apply(const serving::service_name& name, stage_service& service,
+    auto apply(const dispatch::shard& part, stage_service& service,
                const dispatch::stage_effects& effects) -> void;
-    auto log_outcome(const serving::service_name& name,
-                     const stage_service& service, const waiting_work& work,
+    auto log_outcome(const dispatch::shard& part, const stage_service& service,
+                     const waiting_work& work,
                      const dispatch::stage_outcome& outcome) -> void;
 
     event::loop& owner;
@@ -86,7 +86,7 @@
     flow_metrics& metrics;
     std::function<void()> schedule;
     verdict_hook heed;
-    std::map<serving::service_name, std::shared_ptr<stage_service>> services;
+    std::map<dispatch::shard, std::shared_ptr<stage_service>> parts;
 };
 
 } // namespace almondtiller::gateway
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -19,8 +19,8 @@
     return path != "read" && path != "book";
 }
 
-auto request_text(const call_record& record, const std::string& key)
-    -> std::string
+auto request_text(const call_record& record, const std::string& key,
+                  const std::string& session) -> std::string
 {
     auto request = http1::request_message();
     request.method = record.path == "read" ? "GET" : "POST";
@@ -32,7 +32,8 @@
     if (is_stream(record.path)) {
         request.headers.add("X-Almondtiller-Model", "m");
         request.headers.add("X-Almondtiller-Token-Counts", "100,20");
-        request.headers.add("X-Almondtiller-Prompt-Prefix", "5c:60,9b:40");
+        request.headers.add("X-Almondtiller-Prompt-Prefix",
+                            session + ":60,9b:40");
     }
     if (record.path == "staged") {
         request.headers.add("X-Almondtiller-Pieces", "2,3");
@@ -49,6 +50,11 @@
 world_caller::world_caller(world& home) : around(home), pool(home.loop)
 {}
 
+auto world_caller::set_sessions(std::uint64_t count) -> void
+{
+    this->sessions = count;
+}
+
 auto world_caller::call(const core::endpoint& front, const std::string& path,
                         const std::string& key) -> call_record&
 {
@@ -58,6 +64,9 @@
     record.path = path;
     record.sent = this->around.clock.now();
     this->calls.push_back(std::move(made));
+    const auto session = this->sessions == 0
+                             ? std::string("5c")
+                             : std::to_string(this->last % this->sessions);
     auto hooks = http1::pool_hooks();
     hooks.on_head = [&record](const http1::response_head& head) {
         record.status = head.status;
@@ -75,8 +84,9 @@
     };
     auto options = http1::call_options();
     options.longest_idle = core::milliseconds(2000);
-    this->pool.call({core::to_text(front), front}, request_text(record, key),
-                    options, std::move(hooks));
+    this->pool.call({core::to_text(front), front},
+                    request_text(record, key, session), options,
+                    std::move(hooks));
     return record;
 }
 
--- a/tests/fakes/gateway_world/world_caller.h
+++ b/tests/fakes/gateway_world/world_caller.h
@@ -37,6 +37,9 @@
     auto call(const core::endpoint& front, const std::string& path,
               const std::string& key = "key") -> call_record&;
 
+    /// Prompts share a part with one in so many; 0: with all.
+    auto set_sessions(std::uint64_t sessions) -> void;
+
     /// Waits for a call's end.
     auto wait(const call_record& record) -> bool;
 
@@ -53,6 +56,7 @@
     http1::client_pool pool;
     std::vector<std::unique_ptr<call_record>> calls;
     std::uint64_t last = 0;
+    std::uint64_t sessions = 0;
 };
 
 } // namespace almondtiller::gateway_world
--- a/tests/unit/dispatch/serving_state_test.cpp
+++ b/tests/unit/dispatch/serving_state_test.cpp
@@ -94,4 +94,34 @@
     EXPECT_FALSE(this->state.is_usable(this->id));
 }
 
+// Load pattern: hundreds of upstreams, whose one owner has no time left.
+TEST_F(serving_state_test, a_large_service_has_a_shard_in_each_zone)
+{
+    const auto name = serving::service_name("s");
+    const auto add = [&](int number) {
+        auto entry = serving::upstream();
+        entry.id = core::upstream_id("u" + std::to_string(number));
+        entry.service = name;
+        entry.zone = core::zone_name(number % 2 == 0 ? "a" : "b");
+        entry.address = {"127.0.0.1", std::uint16_t(number + 1)};
+        entry.started_ms = 1;
+        EXPECT_TRUE(this->state.update(entry, 1, this->now));
+    };
+    for (auto number = 0; number < 23; ++number) {
+        add(number);
+    }
+    const auto zone = core::zone_name("a");
+    EXPECT_EQ(this->state.shard_for(name, zone), (shard{name, {}}));
+    EXPECT_EQ(this->state.shards_of(name).size(), 1U);
+    add(23);
+    EXPECT_EQ(this->state.shard_for(name, zone), (shard{name, zone}));
+    EXPECT_EQ(this->state.shards_of(name).size(), 2U);
+    EXPECT_EQ(this->state.usable(shard{name, zone}).size(), 12U);
+    EXPECT_EQ(this->state.usable_zones(name).at(zone), 12U);
+    EXPECT_EQ(this->state.zone_at({"127.0.0.1", 2}), core::zone_name("b"));
+    this->state.set_evacuated({zone});
+    EXPECT_FALSE(this->state.usable_zones(name).contains(zone));
+    EXPECT_TRUE(this->state.usable(shard{name, zone}).empty());
+}
+
 } // namespace almondtiller::dispatch
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -589,5 +589,53 @@
     EXPECT_EQ(this->ask("book", 3, "k5").status, 200);
 }
 
+// Each zone's upstreams of a large service have an owner of their own.
+TEST_F(large_fleet_test, large_services_are_served_by_zone)
+{
+    for (auto number = 0; number < 12; ++number) {
+        for (const auto* zone : {"a", "b"}) {
+            const auto suffix = std::to_string(number) + zone;
+            this->world.add_upstream("feed" + suffix, "feed", zone);
+            this->world.add_upstream("model" + suffix, "model", zone);
+        }
+    }
+    ASSERT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_usable_upstreams{"
+                            "service=\"model\"}") ==
+               double(this->nodes.size() * 28);
+    }));
+    this->caller.set_sessions(10);
+    const auto begin = this->world.journal.runs.size();
+    auto records = std::vector<const call_record*>();
+    for (auto round = 0; round < 8; ++round) {
+        for (const auto& running : this->nodes) {
+            records.push_back(
+                &this->caller.call(running->settings.front, "staged"));
+        }
+    }
+    auto served = 0;
+    for (const auto* record : records) {
+        EXPECT_TRUE(this->caller.wait(*record));
+        served += record->status == 200 ? 1 : 0;
+    }
+    EXPECT_EQ(served, int(records.size()));
+    auto zones = std::map<char, int>();
+    for (auto at = begin; at < this->world.journal.runs.size(); ++at) {
+        ++zones[this->world.journal.runs[at].upstream.back()];
+    }
+    EXPECT_GT(zones['a'], 0);
+    EXPECT_GT(zones['b'], 0);
+    // The owners of one zone are lost.
+    std::erase_if(this->nodes, [](const auto& running) {
+        return running->settings.zone == core::zone_name("a") &&
+               running->settings.node != core::node_id("n18");
+    });
+    ASSERT_TRUE(this->wait_peers(this->nodes.size() - 1));
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->ask("staged", at).status, 200);
+    }
+    this->expect_no_faults();
+}
+
 } // namespace
 } // namespace almondtiller::gateway
