Read first lists cheaply, and miss nothing that changes between their pages

And a list counted as read at the revision of its last page: what had changed on an earlier page while later ones were read was never seen, so that an upstream which had left could stay in use.

Change: a list counts as read at its oldest page's revision, and the watch that follows brings the rest.

Test: whole_path_test a_new_node_learns_what_changes_while_it_reads_lists.

--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -3,6 +3,7 @@
 #include "platform/adapter_errc.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace almondtiller::gateway {
@@ -102,12 +103,29 @@
                                    options, std::move(called_back));
 }
 
+auto store_mirror::has_many() const -> bool
+{
+    return this->object_kind == adapter::object_kind::upstreams ||
+           this->object_kind == adapter::object_kind::nodes;
+}
+
 auto store_mirror::list(const std::string& after) -> void
 {
-    this->call(adapter::encode_list(this->store, this->object_kind, after),
-               call_limit, [this](int status, const std::string& body) {
-                   this->on_page(status, body);
-               });
+    // The watch that follows a first list brings what has changed since. Later
+    // lists must show at least what is known already.
+    const auto is_first = this->current_revision == 0;
+    const auto wanted = is_first && this->has_many()
+                            ? adapter::freshness::may_be_stale
+                            : adapter::freshness::newest;
+    if (after.empty()) {
+        this->incoming.clear();
+        this->incoming_revision = std::numeric_limits<std::int64_t>::max();
+    }
+    this->call(
+        adapter::encode_list(this->store, this->object_kind, after, wanted),
+        call_limit, [this](int status, const std::string& body) {
+            this->on_page(status, body);
+        });
 }
 
 auto store_mirror::on_page(int status, const std::string& body) -> void
@@ -122,6 +140,10 @@
         return;
     }
     this->count_unreadable(page.value().unreadable);
+    // What changes while later pages are read is seen by a watch from the
+    // oldest page on.
+    this->incoming_revision =
+        std::min(this->incoming_revision, page.value().revision);
     for (auto& object : page.value().objects) {
         this->incoming[object.name] = std::move(object);
     }
@@ -131,9 +153,9 @@
     }
     this->must_list = false;
     this->succeed();
-    if (page.value().revision >= this->current_revision) {
+    if (this->incoming_revision >= this->current_revision) {
         this->current = std::exchange(this->incoming, {});
-        this->current_revision = page.value().revision;
+        this->current_revision = this->incoming_revision;
         this->listed = true;
         this->forget_history();
         this->called.on_list();
--- a/src/services/gateway/store_mirror.h
+++ b/src/services/gateway/store_mirror.h
@@ -86,6 +86,8 @@
     auto read() -> void;
     auto call(std::string request, core::milliseconds limit,
               std::function<void(int, std::string)> done) -> void;
+    /// \return Whether the kind's lists take several pages.
+    [[nodiscard]] auto has_many() const -> bool;
     auto list(const std::string& after) -> void;
     auto on_page(int status, const std::string& body) -> void;
     auto watch() -> void;
@@ -108,6 +110,8 @@
     hooks called;
     std::map<std::string, adapter::stored_object> current;
     std::map<std::string, adapter::stored_object> incoming;
+    /// The oldest page's of the list that is being read.
+    std::int64_t incoming_revision = 0;
     std::int64_t current_revision = 0;
     /// Changes since history_start, oldest first.
     std::deque<adapter::object_change> history;
--- a/tests/fakes/gateway_world/fake_store.cpp
+++ b/tests/fakes/gateway_world/fake_store.cpp
@@ -87,6 +87,17 @@
     this->delay = time;
 }
 
+auto fake_store::freeze_stale_reads() -> void
+{
+    this->stale_objects = this->objects;
+    this->stale_revision = this->revision;
+}
+
+auto fake_store::on_page(std::function<void(const std::string&)> hook) -> void
+{
+    this->page_read = std::move(hook);
+}
+
 auto fake_store::compact() -> void
 {
     this->history.clear();
@@ -163,7 +174,11 @@
         const auto after = query_value(query, "after");
         auto items = json::array();
         auto more = false;
-        for (const auto& [name, object] : this->objects[kind]) {
+        const auto is_stale = this->stale_objects.has_value() &&
+                              query_value(query, "staleOk") == "1";
+        auto& source = is_stale ? *this->stale_objects : this->objects;
+        const auto as_of = is_stale ? this->stale_revision : this->revision;
+        for (const auto& [name, object] : source[kind]) {
             more = name > after && items.size() == page_size;
             if (more) {
                 break;
@@ -172,9 +187,11 @@
                 items.push_back(object);
             }
         }
-        this->answer(
-            exchange, 200,
-            {{"items", items}, {"morePages", more}, {"asOf", this->revision}});
+        this->answer(exchange, 200,
+                     {{"items", items}, {"morePages", more}, {"asOf", as_of}});
+        if (this->page_read) {
+            this->page_read(kind);
+        }
         return;
     }
     const auto from = std::int64_t(std::stoll(since));
--- a/tests/fakes/gateway_world/fake_store.h
+++ b/tests/fakes/gateway_world/fake_store.h
@@ -5,8 +5,10 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,6 +51,12 @@
     /// While muted, watches never hear of changes; lists show them.
     auto set_muted(bool muted) -> void;
 
+    /// Reads that may be stale show the objects of now from then on.
+    auto freeze_stale_reads() -> void;
+
+    /// Called after each page of a list.
+    auto on_page(std::function<void(const std::string& kind)> hook) -> void;
+
     /// Forgets the history: watches from before get 410.
     auto compact() -> void;
 
@@ -84,7 +92,12 @@
 
     event::loop& owner;
     std::vector<std::shared_ptr<http1::exchange>> ignored;
-    std::map<std::string, std::map<std::string, json>> objects;
+    using object_map = std::map<std::string, std::map<std::string, json>>;
+
+    object_map objects;
+    std::optional<object_map> stale_objects;
+    std::int64_t stale_revision = 0;
+    std::function<void(const std::string&)> page_read;
     std::vector<change> history;
     std::vector<std::shared_ptr<watch>> watches;
     std::int64_t revision = 1;
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -498,6 +498,37 @@
     })) << "the others know the fourth";
 }
 
+// A node's first list may be old, and takes several pages.
+TEST_F(whole_path_test, a_new_node_learns_what_changes_while_it_reads_lists)
+{
+    for (auto number = 0; number < 8; ++number) {
+        this->world.add_upstream("more" + std::to_string(number), "desk", "a");
+    }
+    this->world.store.freeze_stale_reads();
+    // Before the list is read, and between its pages.
+    this->world.register_upstream(*this->world.upstreams["more7"], "draining");
+    auto pages = 0;
+    this->world.store.on_page([this, &pages](const std::string& kind) {
+        if (kind == "servers" && ++pages == 1) {
+            this->world.register_upstream(*this->world.upstreams["desk-a"],
+                                          "draining");
+            this->world.crash_upstream("desk-b");
+        }
+    });
+    auto& late = this->add_node("b");
+    this->wait_ready(late);
+    EXPECT_GT(pages, 1);
+    const auto usable = "\nalmondtiller_gateway_usable_upstreams{"
+                        "service=\"desk\"} ";
+    EXPECT_TRUE(this->world.run_until([&]() {
+        const auto page =
+            "\n" + this->read_page(late.settings.metrics, "/metrics");
+        const auto at = page.find(usable);
+        return at != std::string::npos &&
+               std::stod(page.substr(at + std::string(usable).size())) == 7;
+    }));
+}
+
 /// More nodes than have connections to each other.
 class large_fleet_test : public whole_path_test
 {
