--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -463,6 +463,72 @@
     this->expect_no_faults();
 }
 
+// Bytes that are no answer may come without end, until the caller closes.
+TEST_F(whole_path_test, cuts_answers_that_never_end)
+{
+    for (const auto* name : {"desk-a", "feed-a", "map-b", "model1-a"}) {
+        this->world.upstreams[name]->set_mode(upstream_mode::endless);
+    }
+    for (auto number = 0; number < 4; ++number) {
+        EXPECT_EQ(this->ask("read").status, 200) << "it goes to another";
+        const auto& booked = this->ask("book");
+        EXPECT_TRUE(booked.status == 200 || booked.status == 502);
+        EXPECT_EQ(this->ask("resumable").status, 200);
+        EXPECT_EQ(this->ask("staged").status, 200);
+    }
+    // Each is cut after a megabyte, and what had been sent until then.
+    const auto sent = this->world.journal.endless_bytes;
+    EXPECT_GT(sent, 0U);
+    EXPECT_LT(sent, std::uint64_t(64) << 20U);
+    this->world.run_for(core::milliseconds(300));
+    EXPECT_EQ(this->world.journal.endless_bytes, sent) << "all are closed";
+    this->expect_no_faults();
+}
+
+// A store that takes calls and never answers them.
+TEST_F(whole_path_test, registers_again_where_the_store_has_not_answered)
+{
+    this->world.store.set_mode(store_mode::silent_to_writes);
+    auto& late = this->add_node("b");
+    this->wait_ready(late);
+    this->world.run_for(core::milliseconds(200));
+    this->world.store.set_mode(store_mode::serves);
+    EXPECT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_peers_alive") == 12;
+    })) << "the others know the fourth";
+}
+
+// A node's first list may be old, and takes several pages.
+TEST_F(whole_path_test, a_new_node_learns_what_changes_while_it_reads_lists)
+{
+    for (auto number = 0; number < 8; ++number) {
+        this->world.add_upstream("more" + std::to_string(number), "desk", "a");
+    }
+    this->world.store.freeze_stale_reads();
+    // Before the list is read, and between its pages.
+    this->world.register_upstream(*this->world.upstreams["more7"], "draining");
+    auto pages = 0;
+    this->world.store.on_page([this, &pages](const std::string& kind) {
+        if (kind == "servers" && ++pages == 1) {
+            this->world.register_upstream(*this->world.upstreams["desk-a"],
+                                          "draining");
+            this->world.crash_upstream("desk-b");
+        }
+    });
+    auto& late = this->add_node("b");
+    this->wait_ready(late);
+    EXPECT_GT(pages, 1);
+    const auto usable = "\nalmondtiller_gateway_usable_upstreams{"
+                        "service=\"desk\"} ";
+    EXPECT_TRUE(this->world.run_until([&]() {
+        const auto page =
+            "\n" + this->read_page(late.settings.metrics, "/metrics");
+        const auto at = page.find(usable);
+        return at != std::string::npos &&
+               std::stod(page.substr(at + std::string(usable).size())) == 7;
+    }));
+}
+
 /// More nodes than have connections to each other.
 class large_fleet_test : public whole_path_test
 {
@@ -554,5 +620,53 @@
     EXPECT_EQ(this->ask("book", 3, "k5").status, 200);
 }
 
+// Each zone's upstreams of a large service have an owner of their own.
+TEST_F(large_fleet_test, large_services_are_served_by_zone)
+{
+    for (auto number = 0; number < 12; ++number) {
+        for (const auto* zone : {"a", "b"}) {
+            const auto suffix = std::to_string(number) + zone;
+            this->world.add_upstream("feed" + suffix, "feed", zone);
+            this->world.add_upstream("model" + suffix, "model", zone);
+        }
+    }
+    ASSERT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_usable_upstreams{"
+                            "service=\"model\"}") ==
+               double(this->nodes.size() * 28);
+    }));
+    this->caller.set_sessions(10);
+    const auto begin = this->world.journal.runs.size();
+    auto records = std::vector<const call_record*>();
+    for (auto round = 0; round < 8; ++round) {
+        for (const auto& running : this->nodes) {
+            records.push_back(
+                &this->caller.call(running->settings.front, "staged"));
+        }
+    }
+    auto served = 0;
+    for (const auto* record : records) {
+        EXPECT_TRUE(this->caller.wait(*record));
+        served += record->status == 200 ? 1 : 0;
+    }
+    EXPECT_EQ(served, int(records.size()));
+    auto zones = std::map<char, int>();
+    for (auto at = begin; at < this->world.journal.runs.size(); ++at) {
+        ++zones[this->world.journal.runs[at].upstream.back()];
+    }
+    EXPECT_GT(zones['a'], 0);
+    EXPECT_GT(zones['b'], 0);
+    // The owners of one zone are lost.
+    std::erase_if(this->nodes, [](const auto& running) {
+        return running->settings.zone == core::zone_name("a") &&
+               running->settings.node != core::node_id("n18");
+    });
+    ASSERT_TRUE(this->wait_peers(this->nodes.size() - 1));
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->ask("staged", at).status, 200);
+    }
+    this->expect_no_faults();
+}
+
 } // namespace
 } // namespace almondtiller::gateway
