--- a/tests/fakes/gateway_world/world.cpp
+++ b/tests/fakes/gateway_world/world.cpp
@@ -214,8 +214,8 @@
                        route("read", "idempotent", "desk", 3),
                        route("book", "non_idempotent", "desk", 1)};
     for (auto number = 0; number < more_routes; ++number) {
-        routes.push_back(route(("more" + std::to_string(number)).c_str(),
-                               "idempotent", "desk", 3));
+        routes.push_back(
+            route("more" + std::to_string(number), "idempotent", "desk", 3));
     }
     this->store.put("config", "main",
                     {{"version", ++this->version},
--- a/tests/unit/fleet/large_fleet_test.cpp
+++ b/tests/unit/fleet/large_fleet_test.cpp
@@ -311,8 +311,7 @@
     EXPECT_LE(fleet.longest_message, 24U);
 }
 
-INSTANTIATE_TEST_SUITE_P(sizes, large_fleet_test,
-                         testing::Values(100, 300));
+INSTANTIATE_TEST_SUITE_P(sizes, large_fleet_test, testing::Values(100, 300));
 
 } // namespace
 } // namespace almondtiller::fleet
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -233,8 +233,10 @@
 // first ones of each zone got all callers, and the rest none.
 TEST(directory_choice, spreads_callers_over_a_fleet_of_any_size)
 {
-    for (const auto [nodes, zones] : {std::pair(6, 3), std::pair(71, 3),
-                                      std::pair(295, 5), std::pair(1000, 5)}) {
+    for (const auto& size : {std::pair(6, 3), std::pair(71, 3),
+                             std::pair(295, 5), std::pair(1000, 5)}) {
+        const auto nodes = size.first;
+        const auto zones = size.second;
         auto random = core::random_source(7);
         auto ready = std::vector<front_node>();
         for (auto number = 0; number < nodes; ++number) {
