Refuse at once while all upstreams of a service want nothing

Cause: with upstreams held off for as long as they ask, a request whose upstreams are all held waited in the queue until its deadline, though the node knows when the first of them takes work again. Change: it is refused at once and told that time. Test: whole_path_test refuses_at_once_while_all_upstreams_want_nothing, which replays a service that sheds all load.

--- a/src/libs/dispatch/serving_state.cpp
+++ b/src/libs/dispatch/serving_state.cpp
@@ -126,14 +126,10 @@
 }
 
 auto serving_state::held_off(core::time_point now) const
-    -> std::vector<core::upstream_id>
+    -> std::map<core::upstream_id, core::time_point>
 {
-    auto held = std::vector<core::upstream_id>();
-    for (const auto& [id, until] : this->holds) {
-        if (until > now) {
-            held.push_back(id);
-        }
-    }
+    auto held = this->holds;
+    std::erase_if(held, [now](const auto& hold) { return hold.second <= now; });
     return held;
 }
 
--- a/src/libs/dispatch/serving_state.h
+++ b/src/libs/dispatch/serving_state.h
@@ -69,9 +69,9 @@
     auto hold_off(const core::upstream_id& id, core::time_point until) -> void;
 
     /// \return The upstreams that this node must send nothing to now, though
-    ///         others may.
+    ///         others may, and until when.
     [[nodiscard]] auto held_off(core::time_point now) const
-        -> std::vector<core::upstream_id>;
+        -> std::map<core::upstream_id, core::time_point>;
 
     /// \return Whether this node may send new work to \a id.
     [[nodiscard]] auto may_send(const core::upstream_id& id,
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -212,6 +212,32 @@
     }
 }
 
+auto request_flow::all_held_until(
+    const std::map<core::upstream_id, core::time_point>& held) const
+    -> std::optional<core::time_point>
+{
+    if (held.empty()) {
+        return std::nullopt;
+    }
+    auto first = core::time_point::max();
+    const auto& known = this->shared.known;
+    for (const auto& entry :
+         known.usable(known.shard_for(this->service, this->zone))) {
+        const auto hold = held.find(entry.upstream.id);
+        const auto is_excluded =
+            std::find(this->excluded.begin(), this->excluded.end(),
+                      entry.upstream.id) != this->excluded.end();
+        if (hold == held.end() && !is_excluded) {
+            return std::nullopt;
+        }
+        if (hold != held.end()) {
+            first = std::min(first, hold->second);
+        }
+    }
+    return first == core::time_point::max() ? std::nullopt
+                                            : std::optional(first);
+}
+
 auto request_flow::place(bool is_repeat) -> void
 {
     auto wanted = dispatch::placement_request();
@@ -225,10 +251,18 @@
                                ? this->request.expected_output_tokens
                                : this->request.max_output_tokens;
     wanted.excluded = this->excluded;
-    for (const auto& id :
-         this->shared.known.held_off(this->shared.owner.now())) {
+    const auto now = this->shared.owner.now();
+    const auto held = this->shared.known.held_off(now);
+    for (const auto& [id, until] : held) {
         wanted.excluded.push_back(id);
     }
+    if (const auto free_at = this->all_held_until(held)) {
+        auto refusal = dispatch::placement_outcome();
+        refusal.status = dispatch::placement_status::refused;
+        refusal.retry_after = to_ms(*free_at - now);
+        this->on_placed(refusal);
+        return;
+    }
     wanted.due = this->due;
     wanted.deadline = this->deadline - least_time_left;
     wanted.priority = this->priority;
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -61,6 +61,11 @@
     auto restart_stages() -> void;
     auto release(const std::vector<released_results>& results) -> void;
 
+    /// \return When the first of the service's upstreams takes work of this
+    ///         node again, if none does before and some will.
+    [[nodiscard]] auto all_held_until(
+        const std::map<core::upstream_id, core::time_point>& held) const
+        -> std::optional<core::time_point>;
     auto place(bool is_repeat) -> void;
     auto on_placed(const dispatch::placement_outcome& outcome) -> void;
     auto send(const serving::upstream& upstream) -> void;
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -358,6 +358,24 @@
     this->expect_no_faults();
 }
 
+// Load pattern: all upstreams of a service shed load at once. Requests that
+// waited for them until their deadline could have been refused at once.
+TEST_F(whole_path_test, refuses_at_once_while_all_upstreams_want_nothing)
+{
+    for (const auto* name : {"desk-a", "desk-b"}) {
+        this->world.upstreams[name]->set_mode(upstream_mode::full);
+        this->world.upstreams[name]->set_hold_off("1.5");
+    }
+    EXPECT_EQ(this->ask("book").status, 503);
+    const auto begin = this->world.clock.now();
+    const auto& record = this->ask("book");
+    EXPECT_LT(this->world.clock.now() - begin, core::milliseconds(100));
+    EXPECT_EQ(record.status, 503);
+    EXPECT_GT(record.retry_after, 0.3);
+    EXPECT_LT(record.retry_after, 2.0);
+    this->expect_no_faults();
+}
+
 TEST_F(whole_path_test, sends_nothing_to_draining_upstreams_or_evacuated_zones)
 {
     this->world.register_upstream(*this->world.upstreams["desk-a"], "draining");
