Count upstreams anew only when one has expired

Cause: the check for expired entries, five times a second, dropped the counts by zone whether or not one had expired. Seen while reading. Change: they are dropped when an entry has gone.

--- a/src/libs/dispatch/serving_state.cpp
+++ b/src/libs/dispatch/serving_state.cpp
@@ -104,10 +104,13 @@
 {
     std::erase_if(this->holds,
                   [now](const auto& hold) { return hold.second <= now; });
-    this->last_census.reset();
-    return std::erase_if(this->known, [now](const auto& item) {
-               return item.second.removal && *item.second.removal <= now;
-           }) > 0;
+    const auto expired = std::erase_if(this->known, [now](const auto& item) {
+        return item.second.removal && *item.second.removal <= now;
+    });
+    if (expired > 0) {
+        this->last_census.reset();
+    }
+    return expired > 0;
 }
 
 auto serving_state::mark_leaving(const core::upstream_id& id) -> bool
