Void what a node has said of itself before its restart

Cause: found on reading the change again. A node that leaves says that it is not ready, and its peers kept that by its name. In a small fleet the next heartbeat after its restart corrects it; in a large one a given peer hears it directly only every few minutes, and until then left it out of directory answers and, for a large machine, out of the owners, on which nodes then disagreed. Change: a status carries the incarnation that speaks; that of an earlier one gives way to the entry with which the node registered. The decision stands apart (ready_nodes).

--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -29,7 +29,8 @@
             this->settings.zone,
             this->own_capacity(),
             this->follower.revisions(),
-            this->known.config() ? this->known.config()->version : 0};
+            this->known.config() ? this->known.config()->version : 0,
+            this->incarnation};
 }
 
 auto node::state::own_capacity() const -> node_capacity
@@ -122,22 +123,11 @@
               this->own_capacity()});
     }
     this->mesh.visit([&](const peer_view& peer) {
-        if (!peer.is_alive) {
-            return;
-        }
-        const auto& entry = peer.entry;
-        const auto found = this->peer_status.find(entry.node);
-        if (found != this->peer_status.end()) {
-            const auto& status = found->second;
-            if (status.is_ready) {
-                hook({entry.node, status.zone, status.front, status.capacity});
-            }
-        } else if (entry.front.port != 0) {
-            // Nodes register once they are ready.
-            hook({entry.node,
-                  entry.zone,
-                  entry.front,
-                  {entry.cores, entry.link_mbps}});
+        const auto said = this->peer_status.find(peer.entry.node);
+        const auto* status =
+            said == this->peer_status.end() ? nullptr : &said->second;
+        if (const auto ready = as_ready(peer, status)) {
+            hook(*ready);
         }
     });
 }
@@ -168,7 +158,8 @@
     }
     auto& kept = this->peer_status[peer];
     const auto is_turn = kept.is_ready != status.value().is_ready ||
-                         kept.capacity != status.value().capacity;
+                         kept.capacity != status.value().capacity ||
+                         kept.incarnation != status.value().incarnation;
     kept = status.value();
     if (is_turn) {
         this->update_candidates();
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -3,6 +3,7 @@
 #include "event/tcp_listener.h"
 #include "services/gateway/flow_limits.h"
 #include "services/gateway/gateway.h"
+#include "services/gateway/ready_nodes.h"
 #include "services/gateway/request_flow.h"
 #include "services/gateway/store_follower.h"
 
@@ -32,15 +33,6 @@
 inline constexpr auto unauthorized = 401;
 inline constexpr auto not_found = 404;
 
-/// A node that takes requests.
-struct ready_node
-{
-    core::node_id node;
-    core::zone_name zone;
-    core::endpoint front;
-    node_capacity capacity;
-};
-
 struct node::state
 {
     event::loop& owner;
--- a/src/services/gateway/peer_messages.cpp
+++ b/src/services/gateway/peer_messages.cpp
@@ -128,10 +128,10 @@
 
 auto encode(const node_status& status) -> std::string
 {
-    return pack(
-        json::array({status.is_ready, core::to_text(status.front),
-                     status.zone.str(), status.revisions, status.capacity.cores,
-                     status.capacity.link_mbps, status.configuration}));
+    return pack(json::array({status.is_ready, core::to_text(status.front),
+                             status.zone.str(), status.revisions,
+                             status.capacity.cores, status.capacity.link_mbps,
+                             status.configuration, status.incarnation}));
 }
 
 auto decode_status(std::string_view body) -> core::result<node_status>
@@ -144,12 +144,16 @@
         status.revisions = value.at(3).get<std::vector<std::int64_t>>();
         status.capacity.cores = value.at(4).get<double>();
         status.capacity.link_mbps = value.at(5).get<double>();
-        // Earlier versions of the program don't tell it.
+        // Earlier versions of the program don't tell these.
         constexpr auto configuration_index = std::size_t(6);
+        constexpr auto incarnation_index = std::size_t(7);
         if (value.size() > configuration_index) {
             status.configuration =
                 value.at(configuration_index).get<std::int64_t>();
         }
+        if (value.size() > incarnation_index) {
+            status.incarnation = value.at(incarnation_index).get<std::string>();
+        }
         return status;
     });
 }
--- a/src/services/gateway/peer_messages.h
+++ b/src/services/gateway/peer_messages.h
@@ -31,6 +31,8 @@
     std::vector<std::int64_t> revisions;
     /// Version of the configuration in force, 0 before the first.
     std::int64_t configuration = 0;
+    /// Tells it from what the node has said before a restart.
+    std::string incarnation;
 
     auto operator==(const node_status&) const -> bool = default;
 };
