Hold off stage calls whichever call was told to wait

Cause: found on reading. An upstream that refused to free results, with a time for which it wants nothing, still got stage calls: its queue heard only of refused calls. Change: the queue is told of any such answer. Counts of upstreams are dropped only if one that leaves is news. Also: the test of lists that change between their pages could not fail, as all pages came from one frozen state; it is two tests now, and the second fails with the last page's revision in place of the first's. Tests: a_refused_free_holds_off_stage_calls_too (fails without the change), what_changes_between_two_pages_is_not_missed, an_old_list_is_followed_by_what_has_changed.

--- a/src/libs/dispatch/serving_state.cpp
+++ b/src/libs/dispatch/serving_state.cpp
@@ -116,9 +116,12 @@
 auto serving_state::mark_leaving(const core::upstream_id& id) -> bool
 {
     const auto found = this->known.find(id);
+    if (found == this->known.end() || found->second.is_leaving) {
+        return false;
+    }
+    found->second.is_leaving = true;
     this->last_census.reset();
-    return found != this->known.end() &&
-           !std::exchange(found->second.is_leaving, true);
+    return true;
 }
 
 auto serving_state::hold_off(const core::upstream_id& id,
--- a/src/libs/dispatch/stage_queue.h
+++ b/src/libs/dispatch/stage_queue.h
@@ -111,9 +111,12 @@
 
     /// A call has failed as a whole.
     /// \param is_full The upstream said that it did not take the call.
-    /// \param hold_off For so long the upstream wants no calls.
-    auto on_call_failed(std::uint64_t call, bool is_full, core::time_point now,
-                        core::milliseconds hold_off = {}) -> stage_effects;
+    auto on_call_failed(std::uint64_t call, bool is_full, core::time_point now)
+        -> stage_effects;
+
+    /// An upstream wants no calls until \a until, whoever was told so.
+    auto hold_off(const core::upstream_id& engine, core::time_point until)
+        -> void;
 
     /// Ends works that can't begin in time any more and makes the pieces of
     /// overdue calls available to other upstreams.
--- a/src/libs/dispatch/stage_results.cpp
+++ b/src/libs/dispatch/stage_results.cpp
@@ -98,8 +98,7 @@
 }
 
 auto stage_queue::on_call_failed(std::uint64_t call, bool is_full,
-                                 core::time_point now,
-                                 core::milliseconds hold_off) -> stage_effects
+                                 core::time_point now) -> stage_effects
 {
     auto effects = stage_effects();
     const auto taken = this->take_call(call, now);
@@ -108,7 +107,8 @@
     }
     const auto engine = this->engines.find(taken->engine);
     if (engine != this->engines.end()) {
-        engine->second.blocked_until = now + std::max(hold_off, full_pause);
+        engine->second.blocked_until = std::max(
+            engine->second.blocked_until, core::time_point(now + full_pause));
         if (!is_full && engine->second.health.on_failure(now)) {
             engine->second.health.eject(now);
         }
@@ -123,6 +123,16 @@
     return effects;
 }
 
+auto stage_queue::hold_off(const core::upstream_id& engine,
+                           core::time_point until) -> void
+{
+    const auto found = this->engines.find(engine);
+    if (found != this->engines.end()) {
+        auto& blocked = found->second.blocked_until;
+        blocked = std::max(blocked, until);
+    }
+}
+
 auto stage_queue::on_time(core::time_point now) -> stage_effects
 {
     auto effects = stage_effects();
--- a/src/services/gateway/stage_dispatcher.cpp
+++ b/src/services/gateway/stage_dispatcher.cpp
@@ -146,7 +146,7 @@
     auto hooks = http1::pool_hooks();
     hooks.on_head = [this, verdict, call](const http1::response_head& head) {
         *verdict = adapter::decode_verdict(head);
-        this->heed(call.engine.id, *verdict);
+        this->heed_answer(call.engine.id, *verdict);
     };
     hooks.on_body = [body](std::string_view bytes) {
         *body += bytes;
@@ -179,6 +179,19 @@
                         std::move(request), options, std::move(hooks));
 }
 
+auto stage_dispatcher::heed_answer(const core::upstream_id& upstream,
+                                   const serving::upstream_verdict& verdict)
+    -> void
+{
+    if (verdict.hold_off.count() > 0) {
+        const auto until = this->owner.now() + verdict.hold_off;
+        for (auto& [part, service] : this->parts) {
+            service->queue.hold_off(upstream, until);
+        }
+    }
+    this->heed(upstream, verdict);
+}
+
 auto stage_dispatcher::on_call_done(const dispatch::shard& part,
                                     const dispatch::stage_call& call,
                                     const serving::upstream_verdict& verdict,
@@ -212,8 +225,7 @@
     constexpr auto full_status = 503;
     this->apply(part, service,
                 service.queue.on_call_failed(
-                    call.id, !error && verdict.status == full_status, now,
-                    verdict.hold_off));
+                    call.id, !error && verdict.status == full_status, now));
     this->schedule();
 }
 
@@ -301,7 +313,7 @@
         }
         auto hooks = http1::pool_hooks();
         hooks.on_head = [this, holder = id](const http1::response_head& head) {
-            this->heed(holder, adapter::decode_verdict(head));
+            this->heed_answer(holder, adapter::decode_verdict(head));
         };
         hooks.on_done = [this, name](std::error_code error, bool) {
             if (error) {
--- a/src/services/gateway/stage_dispatcher.h
+++ b/src/services/gateway/stage_dispatcher.h
@@ -73,6 +73,8 @@
                       const dispatch::stage_call& call,
                       const serving::upstream_verdict& verdict,
                       const std::string& body, std::error_code error) -> void;
+    auto heed_answer(const core::upstream_id& upstream,
+                     const serving::upstream_verdict& verdict) -> void;
     auto apply(const dispatch::shard& part, stage_service& service,
                const dispatch::stage_effects& effects) -> void;
     auto log_outcome(const dispatch::shard& part, const stage_service& service,
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -145,7 +145,9 @@
         std::string(request.headers.find("X-Almondtiller-Request-Id"));
     this->journal.arrivals.push_back(
         {id, this->own_id, request.target, this->owner.now()});
-    if (this->mode == upstream_mode::full) {
+    const auto is_free = request.target == "/almondtiller/stage-free";
+    if (this->mode == upstream_mode::full ||
+        (this->mode == upstream_mode::full_for_frees && is_free)) {
         auto headers = http1::header_list({{"X-Almondtiller-Not-Run", "1"}});
         if (!this->hold_off.empty()) {
             headers.add("Retry-After", this->hold_off);
@@ -158,7 +160,7 @@
         this->send_endless(exchange);
         return;
     }
-    if (request.target == "/almondtiller/stage-free") {
+    if (is_free) {
         this->free_results(request, exchange);
         return;
     }
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -15,10 +15,11 @@
 enum class upstream_mode
 {
     works,
-    hangs,      ///< Takes requests and never answers.
-    breaks_off, ///< Cuts answers in the middle.
-    full,       ///< Turns everything away as not run.
-    endless,    ///< Begins an answer and sends bytes until it is cut.
+    hangs,          ///< Takes requests and never answers.
+    breaks_off,     ///< Cuts answers in the middle.
+    full,           ///< Turns everything away as not run.
+    full_for_frees, ///< Turns away only calls that free results.
+    endless,        ///< Begins an answer and sends bytes until it is cut.
 };
 
 /// What an upstream has begun to run.
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -358,6 +358,32 @@
     this->expect_no_faults();
 }
 
+// It is the upstream that wants nothing, whatever it was asked for.
+TEST_F(whole_path_test, a_refused_free_holds_off_stage_calls_too)
+{
+    auto& feed = *this->world.upstreams["feed-a"];
+    feed.set_mode(upstream_mode::full_for_frees);
+    feed.set_hold_off("1.5");
+    auto first_refusal = core::time_point();
+    EXPECT_TRUE(this->world.run_until([&]() {
+        EXPECT_EQ(this->ask("staged").status, 200);
+        const auto& all = this->world.journal.arrivals;
+        const auto refused =
+            std::find_if(all.begin(), all.end(), [](const auto& record) {
+                return record.upstream == "feed-a" &&
+                       record.path == "/almondtiller/stage-free";
+            });
+        first_refusal = refused == all.end() ? core::time_point() : refused->at;
+        return refused != all.end();
+    }));
+    const auto begin = first_refusal + core::milliseconds(500);
+    while (this->world.clock.now() < first_refusal + core::milliseconds(1400)) {
+        EXPECT_EQ(this->ask("staged").status, 200);
+    }
+    EXPECT_LE(this->arrivals_since(begin, "feed-a"), 2U);
+    this->expect_no_faults();
+}
+
 // Load pattern: all upstreams of a service shed load at once. Requests that
 // waited for them until their deadline could have been refused at once.
 TEST_F(whole_path_test, refuses_at_once_while_all_upstreams_want_nothing)
@@ -516,15 +542,47 @@
     })) << "the others know the fourth";
 }
 
-// A node's first list may be old, and takes several pages.
-TEST_F(whole_path_test, a_new_node_learns_what_changes_while_it_reads_lists)
+/// A node that starts while the lists of the store are not at rest.
+class late_start_test : public whole_path_test
 {
-    for (auto number = 0; number < 8; ++number) {
-        this->world.add_upstream("more" + std::to_string(number), "desk", "a");
+protected:
+    late_start_test()
+    {
+        for (auto number = 0; number < 8; ++number) {
+            this->world.add_upstream("more" + std::to_string(number), "desk",
+                                     "a");
+        }
     }
+
+    /// \return How many upstreams of the plain service a node may use.
+    auto usable_desks(const running_node& running) -> double
+    {
+        const auto series =
+            std::string("\nalmondtiller_gateway_usable_upstreams{"
+                        "service=\"desk\"} ");
+        const auto page =
+            "\n" + this->read_page(running.settings.metrics, "/metrics");
+        const auto at = page.find(series);
+        return at == std::string::npos
+                   ? -1
+                   : std::stod(page.substr(at + series.size()));
+    }
+};
+
+TEST_F(late_start_test, an_old_list_is_followed_by_what_has_changed)
+{
     this->world.store.freeze_stale_reads();
-    // Before the list is read, and between its pages.
     this->world.register_upstream(*this->world.upstreams["more7"], "draining");
+    this->world.crash_upstream("more6");
+    auto& late = this->add_node("b");
+    this->wait_ready(late);
+    EXPECT_TRUE(
+        this->world.run_until([&]() { return this->usable_desks(late) == 8; }));
+}
+
+// An upstream that had left while later pages were read stayed in use.
+TEST_F(late_start_test, what_changes_between_two_pages_is_not_missed)
+{
     auto pages = 0;
     this->world.store.on_page([this, &pages](const std::string& kind) {
         if (kind == "servers" && ++pages == 1) {
@@ -536,15 +594,8 @@
     auto& late = this->add_node("b");
     this->wait_ready(late);
     EXPECT_GT(pages, 1);
-    const auto usable = "\nalmondtiller_gateway_usable_upstreams{"
-                        "service=\"desk\"} ";
-    EXPECT_TRUE(this->world.run_until([&]() {
-        const auto page =
-            "\n" + this->read_page(late.settings.metrics, "/metrics");
-        const auto at = page.find(usable);
-        return at != std::string::npos &&
-               std::stod(page.substr(at + std::string(usable).size())) == 7;
-    }));
+    EXPECT_TRUE(
+        this->world.run_until([&]() { return this->usable_desks(late) == 8; }));
 }
 
 /// More nodes than have connections to each other.
