Take an answer to a ping only from the node that was asked; split files

Cause: found on reading. An answer counted by its number alone, so that a node which has taken over an address kept its dead predecessor alive. Change: sender and kind are compared; the datagrams' form, the choice of members and the changes of a mirror have files of their own; one conversion, one size. Tests: peer_gossip_test over sockets, an_answer_of_another_node_proves_nothing fails without the comparison.

--- /dev/null
+++ b/src/libs/event/socket_address.cpp
@@ -0,0 +1,20 @@
+#include "event/socket_address.h"
+
+#include "event/stream_state.h"
+
+#include <uv.h>
+
+namespace almondtiller::event {
+
+auto to_socket_address(const core::endpoint& address)
+    -> core::result<sockaddr_in>
+{
+    auto numeric = sockaddr_in();
+    const auto status = uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
+    if (status != 0) {
+        return uv_error(status);
+    }
+    return numeric;
+}
+
+} // namespace almondtiller::event
--- a/src/libs/event/tcp_listener.cpp
+++ b/src/libs/event/tcp_listener.cpp
@@ -1,6 +1,7 @@
 #include "event/tcp_listener.h"
 
 #include "event/loop.h"
+#include "event/socket_address.h"
 #include "event/stream_state.h"
 
 #include <utility>
@@ -53,12 +54,12 @@
 
 auto tcp_listener::listen(const core::endpoint& address) -> std::error_code
 {
-    auto numeric = sockaddr_in();
-    auto status = uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
-    if (status == 0) {
-        status = uv_tcp_bind(&this->data->handle,
-                             reinterpret_cast<const sockaddr*>(&numeric), 0);
+    const auto numeric = to_socket_address(address);
+    if (!numeric) {
+        return numeric.error();
     }
+    auto status =
+        uv_tcp_bind(&this->data->handle, as_generic(numeric.value()), 0);
     if (status == 0) {
         status = uv_listen(reinterpret_cast<uv_stream_t*>(&this->data->handle),
                            accept_backlog, [](uv_stream_t* server, int result) {
--- a/src/libs/event/udp_socket.cpp
+++ b/src/libs/event/udp_socket.cpp
@@ -1,6 +1,7 @@
 #include "event/udp_socket.h"
 
 #include "event/loop.h"
+#include "event/socket_address.h"
 #include "event/stream_state.h"
 
 #include <uv.h>
@@ -48,12 +49,12 @@
 
 auto udp_socket::bind(const core::endpoint& address) -> std::error_code
 {
-    auto numeric = sockaddr_in();
-    auto status = uv_ip4_addr(address.ip.c_str(), address.port, &numeric);
-    if (status == 0) {
-        status = uv_udp_bind(&this->data->handle,
-                             reinterpret_cast<const sockaddr*>(&numeric), 0);
+    const auto numeric = to_socket_address(address);
+    if (!numeric) {
+        return numeric.error();
     }
+    auto status =
+        uv_udp_bind(&this->data->handle, as_generic(numeric.value()), 0);
     if (status == 0) {
         status = uv_udp_recv_start(
             &this->data->handle,
@@ -95,15 +96,15 @@
     if (this->data == nullptr) {
         return make_error_code(std::errc::not_connected);
     }
-    auto numeric = sockaddr_in();
-    auto status = uv_ip4_addr(target.ip.c_str(), target.port, &numeric);
-    if (status == 0) {
-        // The library takes writable buffers, and only reads them.
-        const auto buffer =
-            uv_buf_init(const_cast<char*>(bytes.data()), bytes.size());
-        status = uv_udp_try_send(&this->data->handle, &buffer, 1,
-                                 reinterpret_cast<const sockaddr*>(&numeric));
+    const auto numeric = to_socket_address(target);
+    if (!numeric) {
+        return numeric.error();
     }
+    // The library takes writable buffers, and only reads them.
+    const auto buffer =
+        uv_buf_init(const_cast<char*>(bytes.data()), bytes.size());
+    const auto status = uv_udp_try_send(&this->data->handle, &buffer, 1,
+                                        as_generic(numeric.value()));
     return status >= 0 ? std::error_code() : uv_error(status);
 }
 
--- /dev/null
+++ b/src/libs/fleet/membership_choice.cpp
@@ -0,0 +1,133 @@
+#include "fleet/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondtiller::fleet {
+
+namespace {
+
+/// Contacts that a node without peers pings in one round.
+constexpr auto join_contacts = std::size_t(3);
+
+template <typename Member>
+auto shuffle(std::vector<Member>& members, core::random_source& random) -> void
+{
+    for (auto left = members.size(); left > 1; --left) {
+        std::swap(members[left - 1], members[random.below(left)]);
+    }
+}
+
+} // namespace
+
+auto membership::next_target() -> std::optional<member>
+{
+    const auto& zone = this->known.self().zone;
+    auto local = std::vector<const member*>();
+    auto remote = std::vector<const member*>();
+    this->known.visit([&](const member& peer) {
+        if (this->is_other_member(peer)) {
+            (peer.zone == zone ? local : remote).push_back(&peer);
+        }
+    });
+    if (const auto zone_to_check = std::exchange(this->doubted_zone, {})) {
+        // Zones go dark as a whole, and few pings come from outside of one.
+        auto there = remote;
+        std::erase_if(there, [&zone_to_check](const member* peer) {
+            return peer->zone != *zone_to_check ||
+                   peer->state != member_state::alive;
+        });
+        if (!there.empty()) {
+            return *there[this->random.below(there.size())];
+        }
+    }
+    const auto is_remote_turn =
+        this->rounds % this->options.remote_every == 0 || local.empty();
+    if (is_remote_turn && !remote.empty()) {
+        return *remote[this->random.below(remote.size())];
+    }
+    while (!this->round_robin.empty()) {
+        const auto* next = this->known.find(this->round_robin.back());
+        this->round_robin.pop_back();
+        if (next != nullptr && next->state != member_state::dead) {
+            return *next;
+        }
+    }
+    if (local.empty()) {
+        return std::nullopt;
+    }
+    shuffle(local, this->random);
+    for (const auto* peer : local) {
+        this->round_robin.push_back(peer->id);
+    }
+    this->round_robin.pop_back();
+    return *local.back();
+}
+
+auto membership::next_contacts() -> std::vector<member>
+{
+    const auto alone = this->is_alone();
+    if (!alone && this->rounds % this->options.contact_every != 0) {
+        return {};
+    }
+    auto candidates = std::vector<member>();
+    for (const auto& [id, contact] : this->contacts) {
+        const auto* record = this->known.find(id);
+        if (record == nullptr) {
+            candidates.push_back(contact);
+        }
+    }
+    for (const auto& [id, deadline] : this->tombstones) {
+        candidates.push_back(*this->known.find(id));
+    }
+    shuffle(candidates, this->random);
+    const auto most = alone ? join_contacts : std::size_t(1);
+    candidates.resize(std::min(candidates.size(), most));
+    return candidates;
+}
+
+auto membership::choose_receivers() -> std::vector<member>
+{
+    return this->choose_alive(this->options.receivers, this->known.self().id);
+}
+
+auto membership::choose_relays(const member& target) -> std::vector<member>
+{
+    return this->choose_alive(this->options.relays, target.id);
+}
+
+auto membership::choose_alive(std::size_t most, const core::node_id& target)
+    -> std::vector<member>
+{
+    auto candidates = std::vector<const member*>();
+    this->known.visit([&](const member& peer) {
+        if (this->is_other_member(peer) && peer.id != target &&
+            peer.state == member_state::alive) {
+            candidates.push_back(&peer);
+        }
+    });
+    auto chosen = std::vector<member>();
+    while (!candidates.empty() && chosen.size() < most) {
+        const auto drawn = this->random.below(candidates.size());
+        std::swap(candidates[drawn], candidates.back());
+        chosen.push_back(*candidates.back());
+        candidates.pop_back();
+    }
+    return chosen;
+}
+
+auto membership::is_other_member(const member& peer) const -> bool
+{
+    return peer.state != member_state::dead && peer.id != this->known.self().id;
+}
+
+auto membership::is_alone() const -> bool
+{
+    auto is_alone = true;
+    this->known.visit([&](const member& peer) {
+        is_alone = is_alone && !this->is_other_member(peer);
+    });
+    return is_alone;
+}
+
+} // namespace almondtiller::fleet
--- a/src/services/gateway/owner_choice.cpp
+++ b/src/services/gateway/owner_choice.cpp
@@ -12,8 +12,6 @@
 
 /// Share of the largest machine's capacity that an owner must have.
 constexpr auto least_share = 0.5;
-/// Up to that many nodes each watch the store.
-constexpr auto small_fleet = std::size_t(16);
 /// Enough that a zone's loss leaves some, few enough to be cheap.
 constexpr auto most_watchers = std::size_t(8);
 /// One may be lost without a node missing a change.
--- a/src/services/gateway/owner_choice.h
+++ b/src/services/gateway/owner_choice.h
@@ -7,6 +7,11 @@
 
 namespace almondtiller::gateway {
 
+/// Nodes of a fleet in which each keeps a connection to each other and watches
+/// the platform's store for itself; in a larger one that grows with the square
+/// of the fleet.
+inline constexpr auto small_fleet = std::size_t(16);
+
 /// A live node that may own services.
 struct owner_candidate
 {
--- a/src/services/gateway/peer_gossip.cpp
+++ b/src/services/gateway/peer_gossip.cpp
@@ -1,9 +1,5 @@
 #include "services/gateway/peer_gossip.h"
 
-#include "fleet/fleet_errc.h"
-
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -11,15 +7,12 @@
 
 namespace {
 
-using json = nlohmann::json;
-
 /// Round trips between zones are a few milliseconds; a small machine that has
 /// used up its share of the processor runs again within 100 ms.
 constexpr auto ping_limit = core::milliseconds(200);
 constexpr auto relay_limit = core::milliseconds(300);
 /// News waits that long for more, as of a zone that is lost as a whole.
 constexpr auto news_delay = core::milliseconds(30);
-constexpr auto last_kind = std::uint8_t(gossip_kind::news);
 
 /// A dead node is out of all directory answers within two seconds: mostly 0.2
 /// until it is pinged, 0.5 for the ping and its relays, 0.4 to refute the
@@ -46,61 +39,18 @@
     return made;
 }
 
-auto to_bytes(const std::string& text) -> json
-{
-    return json::binary({text.begin(), text.end()});
-}
-
-auto to_text(const json& value) -> std::string
+/// \return Whether the node that was asked has answered. Addresses are used
+///         again by other nodes.
+auto is_answer_to(const fleet::probe_order& order,
+                  const gossip_datagram& answer) -> bool
 {
-    const auto& bytes = value.get_binary();
-    return {bytes.begin(), bytes.end()};
+    const auto& asked = order.relay ? order.relay->id : order.target.id;
+    const auto kind = order.relay ? gossip_kind::relay_ack : gossip_kind::ack;
+    return answer.sender == asked && answer.kind == kind;
 }
 
 } // namespace
 
-auto encode(const gossip_datagram& datagram) -> std::string
-{
-    const auto is_relay = datagram.kind == gossip_kind::relay;
-    const auto body = is_relay ? fleet::encode_ping_request(datagram.target)
-                               : fleet::encode_gossip(datagram.message);
-    auto bytes = std::string();
-    json::to_cbor(json::array({std::uint8_t(datagram.kind), datagram.number,
-                               datagram.sender.str(), to_bytes(datagram.status),
-                               to_bytes(body)}),
-                  bytes);
-    return bytes;
-}
-
-auto decode_datagram(std::string_view bytes) -> core::result<gossip_datagram>
-{
-    const auto malformed =
-        make_error_code(fleet::fleet_errc::malformed_message);
-    try {
-        const auto value = json::from_cbor(bytes.begin(), bytes.end());
-        auto datagram = gossip_datagram();
-        const auto kind = value.at(0).get<std::uint8_t>();
-        if (kind > last_kind) {
-            return malformed;
-        }
-        datagram.kind = gossip_kind(kind);
-        datagram.number = value.at(1).get<std::uint64_t>();
-        datagram.sender = core::node_id(value.at(2).get<std::string>());
-        datagram.status = to_text(value.at(3));
-        const auto body = to_text(value.at(4));
-        if (datagram.kind == gossip_kind::relay) {
-            BOOST_OUTCOME_TRY(target, fleet::decode_ping_request(body));
-            datagram.target = std::move(target);
-        } else {
-            BOOST_OUTCOME_TRY(message, fleet::decode_gossip(body));
-            datagram.message = std::move(message);
-        }
-        return datagram;
-    } catch (const json::exception&) {
-        return malformed;
-    }
-}
-
 peer_gossip::peer_gossip(event::loop& loop, const adapter::node_entry& own,
                          event_log& lines)
     : owner(loop),
@@ -336,7 +286,8 @@
     if (answer.kind == gossip_kind::ack) {
         this->machine.on_ack(answer.message, this->owner.now());
     }
-    if (found == this->pending.end()) {
+    if (found == this->pending.end() ||
+        !is_answer_to(found->second.order, answer)) {
         return;
     }
     const auto ping = std::move(found->second);
--- a/src/services/gateway/peer_links.cpp
+++ b/src/services/gateway/peer_links.cpp
@@ -1,3 +1,4 @@
+#include "services/gateway/owner_choice.h"
 #include "services/gateway/peer_mesh_state.h"
 
 #include <algorithm>
@@ -7,7 +8,7 @@
 
 auto peer_mesh::state::is_large() const -> bool
 {
-    return this->links.size() > most_small_peers;
+    return this->links.size() >= small_fleet;
 }
 
 auto peer_mesh::state::interval(const peer_link& link) const
--- a/src/services/gateway/peer_mesh_state.h
+++ b/src/services/gateway/peer_mesh_state.h
@@ -18,8 +18,6 @@
 /// intervals is taken as gone.
 inline constexpr auto beat_interval = core::milliseconds(250);
 inline constexpr auto alive_beats = 4;
-/// A fleet with more other nodes than that is large.
-inline constexpr auto most_small_peers = std::size_t(16);
 /// Time between heartbeats in a large fleet, where an owner has a connection
 /// from each node, by whether calls wait for the peer.
 inline constexpr auto busy_beat_interval = core::milliseconds(500);
--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -16,9 +16,6 @@
 constexpr auto shortest_backoff = core::milliseconds(100);
 constexpr auto longest_backoff = core::milliseconds(800);
 constexpr auto failure_status = 0;
-/// Changes that are kept for other nodes; a node that missed more gets all
-/// objects.
-constexpr auto longest_history = std::size_t(256);
 
 } // namespace
 
@@ -202,69 +199,6 @@
     this->next.start(is_changed ? this->pause : core::milliseconds(0));
 }
 
-auto store_mirror::apply(const adapter::object_changes& seen) -> bool
-{
-    auto changes = std::vector<adapter::object_change>();
-    for (const auto& change : seen.changes) {
-        const auto known = this->current.find(change.object.name);
-        const auto is_old = known != this->current.end() &&
-                            known->second.revision > change.object.revision;
-        if (is_old) {
-            continue;
-        }
-        if (change.is_removed) {
-            this->current.erase(change.object.name);
-        } else {
-            this->current[change.object.name] = change.object;
-        }
-        changes.push_back(change);
-        // The newest state of an object is all that others need; a
-        // configuration of a megabyte would otherwise be held, and sent, once
-        // for each of its versions.
-        std::erase_if(this->history, [&change](const auto& earlier) {
-            return earlier.object.name == change.object.name;
-        });
-        this->history.push_back(change);
-    }
-    while (this->history.size() > longest_history) {
-        this->history_start = this->history.front().object.revision;
-        this->history.pop_front();
-    }
-    this->current_revision = std::max(this->current_revision, seen.revision);
-    if (!changes.empty()) {
-        this->called.on_changes(changes);
-    }
-    return !changes.empty();
-}
-
-auto store_mirror::forget_history() -> void
-{
-    this->history.clear();
-    this->history_start = this->current_revision;
-}
-
-auto store_mirror::changes_since(std::int64_t revision) const
-    -> std::optional<std::vector<adapter::object_change>>
-{
-    if (revision < this->history_start || !this->listed) {
-        return std::nullopt;
-    }
-    auto changes = std::vector<adapter::object_change>();
-    for (const auto& change : this->history) {
-        if (change.object.revision > revision) {
-            changes.push_back(change);
-        }
-    }
-    return changes;
-}
-
-auto store_mirror::adopt_changes(const adapter::object_changes& seen) -> void
-{
-    if (seen.revision > this->current_revision && this->listed) {
-        this->apply(seen);
-    }
-}
-
 auto store_mirror::set_following(bool wanted) -> void
 {
     if (std::exchange(this->follows, wanted) == wanted) {
@@ -332,40 +266,6 @@
     }
 }
 
-auto store_mirror::adopt(std::int64_t newer,
-                         std::vector<adapter::stored_object> objects) -> bool
-{
-    if (newer <= this->current_revision && this->listed) {
-        return this->adopt_newer(std::move(objects));
-    }
-    this->current.clear();
-    for (auto& object : objects) {
-        auto name = object.name;
-        this->current[std::move(name)] = std::move(object);
-    }
-    this->current_revision = newer;
-    this->listed = true;
-    this->forget_history();
-    this->called.on_list();
-    return true;
-}
-
-auto store_mirror::adopt_newer(std::vector<adapter::stored_object> objects)
-    -> bool
-{
-    auto missed = adapter::object_changes();
-    missed.revision = this->current_revision;
-    for (auto& object : objects) {
-        // Objects that are not known here may have been removed since.
-        const auto known = this->current.find(object.name);
-        if (known != this->current.end() &&
-            known->second.revision < object.revision) {
-            missed.changes.push_back({std::move(object), false});
-        }
-    }
-    return this->apply(missed);
-}
-
 auto store_mirror::nudge(core::milliseconds patience) -> void
 {
     const auto is_silent = this->active != nullptr &&
