Learn how fast upstreams read prompts

The third user's engines read 64, and none of them reads so fast beside others. Change: a least-squares line through the tokens that an upstream had to read and the time to its first event, older samples counting less, a sample cut at four times what was expected, a prior of 20 samples and bounds around it. Only what has started counts, not what was adopted from another owner. A refused placement logs the speed and its samples.

--- a/src/libs/dispatch/placement.cpp
+++ b/src/libs/dispatch/placement.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-/// Prompt tokens that a model engine reads in a millisecond; those of both
-/// users read 39 to 41.
-constexpr auto prefill_tokens_per_ms = 40.0;
+/// Prompt tokens that a model engine reads in a millisecond, until its service
+/// has shown it: engines of today's sizes read 20 to 80.
+constexpr auto usual_prefill_speed = 40.0;
 /// Slow-down of an upstream's answers by each request that runs on it.
 constexpr auto running_ms = 2.0;
 /// Share of an engine's memory that running requests may take; the rest keeps
@@ -47,7 +47,8 @@
 placement::placement(serving::service spec, placement_limits bounds)
     : service(std::move(spec)),
       limits(bounds),
-      repeats(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window)
+      repeats(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window),
+      reading(usual_prefill_speed)
 {}
 
 auto placement::set_service(const serving::service& spec) -> void
@@ -158,11 +159,12 @@
 {
     const auto& request = waiting.request;
     const auto& upstream = state.known.upstream;
-    auto wait_ms = state.prefill_ms + running_ms * state.in_flight;
+    const auto speed = this->reading.tokens_per_ms();
+    auto wait_ms = state.prefill_tokens / speed + running_ms * state.in_flight;
     auto total = 0.0;
     if (this->service.model) {
         const auto missing = state.cache.missing_tokens(waiting.prompt);
-        wait_ms += double(missing) / prefill_tokens_per_ms;
+        wait_ms += double(missing) / speed;
         total += token_cost * double(missing);
     } else {
         wait_ms += plain_ms * state.in_flight / upstream.slots;
@@ -206,13 +208,13 @@
     run.upstream = state.known.upstream.id;
     run.placed = now;
     if (this->service.model) {
-        run.prefill_ms = double(state.cache.missing_tokens(waiting.prompt)) /
-                         prefill_tokens_per_ms;
+        run.prefill_tokens = double(state.cache.missing_tokens(waiting.prompt));
+        run.tokens_until_start = state.prefill_tokens + run.prefill_tokens;
         state.cache.touch(waiting.prompt);
         run.kv_tokens = waiting.kv_tokens;
     }
     ++state.in_flight;
-    state.prefill_ms += run.prefill_ms;
+    state.prefill_tokens += run.prefill_tokens;
     state.kv_tokens += run.kv_tokens;
     state.sends.record(now);
     this->placed[waiting.request.ticket] = run;
@@ -224,9 +226,9 @@
         return plain_ms;
     }
     // The last part is the request's own, no upstream has read it.
-    return request.prompt.empty()
-               ? 0.0
-               : double(request.prompt.back().tokens) / prefill_tokens_per_ms;
+    return request.prompt.empty() ? 0.0
+                                  : double(request.prompt.back().tokens) /
+                                        this->reading.tokens_per_ms();
 }
 
 auto placement::sort_queue(core::time_point now) -> void
@@ -294,32 +296,45 @@
     if (found != this->upstreams.end() &&
         !this->placed.contains(request.ticket)) {
         this->place(prepare(request), found->second, now);
+        // When it was sent is not known here.
+        this->placed[request.ticket].is_adopted = true;
+    }
+}
+
+auto placement::end_reading(running& run) -> void
+{
+    if (std::exchange(run.started, true)) {
+        return;
+    }
+    const auto state = this->upstreams.find(run.upstream);
+    if (state != this->upstreams.end()) {
+        auto& backlog = state->second.prefill_tokens;
+        backlog = std::max(backlog - run.prefill_tokens, 0.0);
     }
 }
 
 auto placement::on_started(std::uint64_t ticket, core::time_point now) -> void
 {
-    static_cast<void>(now);
     const auto found = this->placed.find(ticket);
-    if (found == this->placed.end() || found->second.started) {
+    if (found == this->placed.end()) {
         return;
     }
-    found->second.started = true;
-    const auto state = this->upstreams.find(found->second.upstream);
-    if (state != this->upstreams.end()) {
-        state->second.prefill_ms =
-            std::max(state->second.prefill_ms - found->second.prefill_ms, 0.0);
+    auto& run = found->second;
+    if (this->service.model && !run.started && !run.is_adopted) {
+        this->reading.record(run.tokens_until_start,
+                             milliseconds_of(now - run.placed));
     }
+    this->end_reading(run);
 }
 
 auto placement::on_ended(std::uint64_t ticket, work_end how,
                          core::time_point now) -> void
 {
-    this->on_started(ticket, now);
     const auto found = this->placed.find(ticket);
     if (found == this->placed.end()) {
         return;
     }
+    this->end_reading(found->second);
     const auto run = found->second;
     this->placed.erase(found);
     const auto at = this->upstreams.find(run.upstream);
@@ -341,6 +356,11 @@
     }
 }
 
+auto placement::speed() const -> const prefill_speed&
+{
+    return this->reading;
+}
+
 auto placement::waiting() const -> std::size_t
 {
     return this->queue.size();
--- a/src/libs/dispatch/placement.h
+++ b/src/libs/dispatch/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "dispatch/prefill_speed.h"
 #include "dispatch/prefix_cache.h"
 #include "dispatch/rate_limit.h"
 #include "dispatch/repeat_budget.h"
@@ -116,6 +117,9 @@
 
     [[nodiscard]] auto waiting() const -> std::size_t;
 
+    /// \return What is known of how fast the upstreams read prompts.
+    [[nodiscard]] auto speed() const -> const prefill_speed&;
+
 private:
     /// A request that waits, with what each comparison of upstreams takes.
     struct waiting_request
@@ -129,10 +133,14 @@
     struct running
     {
         core::upstream_id upstream;
-        double prefill_ms = 0;
+        /// Prompt tokens that the upstream reads for it.
+        double prefill_tokens = 0;
+        /// The same, and those of requests before it.
+        double tokens_until_start = 0;
         std::uint64_t kv_tokens = 0;
         core::time_point placed;
         bool started = false;
+        bool is_adopted = false;
     };
     struct upstream_state
     {
@@ -141,7 +149,7 @@
         std::uint32_t in_flight = 0;
         std::uint64_t kv_tokens = 0;
         /// Prompts that wait or are being read.
-        double prefill_ms = 0;
+        double prefill_tokens = 0;
         prefix_cache cache;
         rate_limit sends{std::chrono::seconds(1)};
         routing::outlier_detector health;
@@ -168,11 +176,14 @@
                               core::time_point now) const -> upstream_state*;
     auto place(const waiting_request& waiting, upstream_state& state,
                core::time_point now) -> void;
+    /// The upstream has read the prompt, or won't.
+    auto end_reading(running& run) -> void;
     auto sort_queue(core::time_point now) -> void;
 
     serving::service service;
     placement_limits limits;
     repeat_budget repeats;
+    prefill_speed reading;
     std::map<core::upstream_id, upstream_state> upstreams;
     std::map<std::uint64_t, running> placed;
     std::vector<waiting_request> queue;
--- /dev/null
+++ b/src/libs/dispatch/prefill_speed.cpp
@@ -0,0 +1,71 @@
+#include "dispatch/prefill_speed.h"
+
+#include <algorithm>
+
+namespace almondtiller::dispatch {
+
+namespace {
+
+/// A sample counts half after about 140 others: some seconds of a busy
+/// service.
+constexpr auto forgetting = 0.995;
+/// The prior counts as much as that many samples of usual prompts, so that a
+/// few odd ones don't move it far.
+constexpr auto prior_samples = 20.0;
+constexpr auto usual_tokens = 3000.0;
+/// A sample counts as at most that multiple of what was expected of it: an
+/// upstream that hangs says nothing of how fast others read.
+constexpr auto largest_surprise = 4.0;
+/// Engines are neither that much faster nor slower than the prior.
+constexpr auto widest_range = 16.0;
+
+} // namespace
+
+prefill_speed::prefill_speed(double expected) : prior(expected)
+{
+    // Two points on the line of the prior, without any fixed time.
+    const auto half = prior_samples / 2.0;
+    this->weights = prior_samples;
+    this->tokens_sum = half * usual_tokens;
+    this->ms_sum = half * usual_tokens / expected;
+    this->squares = half * usual_tokens * usual_tokens;
+    this->products = half * usual_tokens * usual_tokens / expected;
+}
+
+auto prefill_speed::record(double tokens, double ms) -> void
+{
+    const auto fixed =
+        (this->ms_sum - this->tokens_sum / this->tokens_per_ms()) /
+        this->weights;
+    const auto expected = std::max(fixed, 0.0) + tokens / this->tokens_per_ms();
+    const auto taken = std::min(ms, largest_surprise * std::max(expected, 1.0));
+    const auto add = [](double& sum, double value) {
+        sum = sum * forgetting + value;
+    };
+    add(this->weights, 1.0);
+    add(this->tokens_sum, tokens);
+    add(this->ms_sum, taken);
+    add(this->squares, tokens * tokens);
+    add(this->products, tokens * taken);
+    ++this->count;
+}
+
+auto prefill_speed::tokens_per_ms() const -> double
+{
+    const auto spread =
+        this->weights * this->squares - this->tokens_sum * this->tokens_sum;
+    const auto slope =
+        (this->weights * this->products - this->tokens_sum * this->ms_sum) /
+        std::max(spread, 1.0);
+    const auto slowest = this->prior / widest_range;
+    const auto fastest = this->prior * widest_range;
+    return slope <= 0.0 ? this->prior
+                        : std::clamp(1.0 / slope, slowest, fastest);
+}
+
+auto prefill_speed::samples() const -> std::uint64_t
+{
+    return this->count;
+}
+
+} // namespace almondtiller::dispatch
--- a/src/services/gateway/placement_dispatcher.cpp
+++ b/src/services/gateway/placement_dispatcher.cpp
@@ -158,7 +158,11 @@
          {"left_ms", ms_text(refused.deadline - now)},
          {"waiting", std::to_string(service.places.waiting())},
          {"running", std::to_string(service.requests.size())},
-         {"upstreams", std::to_string(this->known.usable(part).size())}});
+         {"upstreams", std::to_string(this->known.usable(part).size())},
+         {"prefill_tokens_per_ms",
+          std::to_string(service.places.speed().tokens_per_ms())},
+         {"prefill_samples",
+          std::to_string(service.places.speed().samples())}});
 }
 
 auto placement_dispatcher::end(placed_service& service,
--- a/tests/unit/dispatch/placement_test.cpp
+++ b/tests/unit/dispatch/placement_test.cpp
@@ -170,6 +170,33 @@
     EXPECT_LE(granted, 20);
 }
 
+// Load pattern: a burst of long prompts at engines that read half as fast as
+// usual. With the usual speed written down, a session stays at the upstream
+// that has read it although the prompts before it make it late.
+TEST_F(placement_test, learns_how_fast_the_upstreams_read)
+{
+    EXPECT_NEAR(this->places.speed().tokens_per_ms(), 40, 0.01);
+    for (auto ticket = std::uint64_t(1); ticket <= 300; ++ticket) {
+        const auto own = std::uint32_t(500 + 37 * (ticket % 100));
+        auto wanted = this->request(ticket, "s" + std::to_string(ticket), own);
+        this->place(wanted);
+        // Each starts alone, with all but the shared part to read.
+        this->now += milliseconds(30 + (3800 + own) / 20);
+        this->places.on_started(ticket, this->now);
+        this->places.on_ended(ticket, work_end::completed, this->now);
+    }
+    EXPECT_EQ(this->places.speed().samples(), 300U);
+    EXPECT_NEAR(this->places.speed().tokens_per_ms(), 20, 4);
+}
+
+TEST_F(placement_test, learns_nothing_from_what_never_started)
+{
+    this->place(this->request(1, "s"));
+    this->now += milliseconds(4000);
+    this->places.on_ended(1, work_end::given_up, this->now);
+    EXPECT_EQ(this->places.speed().samples(), 0U);
+}
+
 TEST_F(placement_test, an_adopted_request_counts)
 {
     this->places.set_upstreams({known("a", "za", 1), known("b", "zb", 1)});
