Take a restarted node as ready only when it says so

Cause: as_ready() let what a node says give way to its entry whenever the two name different processes. While the store is away a restarted node can't register, so its entry is that of the process before: the directory named a node that knew no configuration, and it owned services whose stage calls all failed. Ruled out: the case that mended (what a node said before its restart) stays void; both are told apart by the entry that was known when it was heard. Test: ready_nodes_test a_restarted_node_is_not_ready_by_its_old_entry.

--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -135,11 +135,11 @@
     }
     this->mesh.visit([&](const peer_view& peer) {
         const auto said = this->peer_status.find(peer.entry.node);
-        const auto* status =
+        const auto* heard =
             said == this->peer_status.end() || said->second.text.empty()
                 ? nullptr
-                : &said->second.status;
-        if (const auto ready = as_ready(peer, status)) {
+                : &said->second;
+        if (const auto ready = as_ready(peer, heard)) {
             hook(*ready);
         }
     });
@@ -162,8 +162,11 @@
 auto node::state::on_peer_status(const core::node_id& peer,
                                  const std::string& text) -> void
 {
+    const auto view = this->mesh.find(peer);
     auto& said = this->peer_status[peer];
-    if (said.text != text) {
+    const auto is_same = said.text == text &&
+                         said.entry_incarnation == view.entry.incarnation;
+    if (!is_same) {
         const auto status = decode_status(text);
         if (!status) {
             this->log.write(
@@ -171,11 +174,10 @@
                 {{"peer", peer.str()}, {"error", status.error().message()}});
             return;
         }
-        const auto view = this->mesh.find(peer);
         const auto before =
-            as_ready(view, said.text.empty() ? nullptr : &said.status);
-        said = {text, status.value()};
-        if (as_ready(view, &said.status) != before) {
+            as_ready(view, said.text.empty() ? nullptr : &said);
+        said = {text, status.value(), view.entry.incarnation};
+        if (as_ready(view, &said) != before) {
             this->update_candidates();
         }
     }
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -54,12 +54,6 @@
     std::vector<std::unique_ptr<event::tcp_listener>> listeners;
     std::set<std::shared_ptr<http1::server_connection>> connections;
     std::set<std::weak_ptr<request_flow>, std::owner_less<>> flows;
-    /// What a peer has last said of itself, as it came and decoded.
-    struct heard_status
-    {
-        std::string text;
-        node_status status;
-    };
     std::map<core::node_id, heard_status> peer_status;
     node_status told_status;
     std::string told_text;
--- a/src/services/gateway/ready_nodes.cpp
+++ b/src/services/gateway/ready_nodes.cpp
@@ -4,27 +4,31 @@
 
 namespace {
 
-/// Earlier versions of the program don't say in which incarnation they speak.
-auto is_current(const adapter::node_entry& entry, const node_status& status)
+auto is_current(const adapter::node_entry& entry, const heard_status& heard)
     -> bool
 {
-    return status.incarnation.empty() ||
-           status.incarnation == entry.incarnation;
+    const auto& speaker = heard.status.incarnation;
+    // Earlier versions of the program don't say in which incarnation they
+    // speak. What is heard beside an entry of another incarnation is newer: a
+    // process registers before its successor starts.
+    return speaker.empty() || speaker == entry.incarnation ||
+           heard.entry_incarnation == entry.incarnation;
 }
 
 } // namespace
 
-auto as_ready(const peer_view& peer, const node_status* status)
+auto as_ready(const peer_view& peer, const heard_status* heard)
     -> std::optional<ready_node>
 {
     if (!peer.is_alive) {
         return std::nullopt;
     }
     const auto& entry = peer.entry;
-    if (status != nullptr && is_current(entry, *status)) {
-        return status->is_ready
-                   ? std::optional(ready_node{entry.node, status->zone,
-                                              status->front, status->capacity})
+    if (heard != nullptr && is_current(entry, *heard)) {
+        const auto& status = heard->status;
+        return status.is_ready
+                   ? std::optional(ready_node{entry.node, status.zone,
+                                              status.front, status.capacity})
                    : std::nullopt;
     }
     // Nodes register once they are ready; earlier versions without an address.
