Run a stage in the zone that holds its inputs

Cause: a stage that found no room in its request's zone was done in another one, and the next stage was still sent to the request's zone: each of its 16 pieces then took all results of the one before across zones, 7.7 MB a request. Change: stage_plan::zone_for follows the zone that holds most of the input if that saves 256 KiB or more; the request's own zone stays where that zone has no upstream of the service. Ruled out: following small inputs as well, which would draw work to the zone of the narrowest stage. Test: stage_plan_test a_stage_runs_where_most_of_its_inputs_are.

--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -164,8 +164,8 @@
 {
     const auto view = this->mesh.find(peer);
     auto& said = this->peer_status[peer];
-    const auto is_same = said.text == text &&
-                         said.entry_incarnation == view.entry.incarnation;
+    const auto is_same =
+        said.text == text && said.entry_incarnation == view.entry.incarnation;
     if (!is_same) {
         const auto status = decode_status(text);
         if (!status) {
@@ -174,8 +174,7 @@
                 {{"peer", peer.str()}, {"error", status.error().message()}});
             return;
         }
-        const auto before =
-            as_ready(view, said.text.empty() ? nullptr : &said);
+        const auto before = as_ready(view, said.text.empty() ? nullptr : &said);
         said = {text, status.value(), view.entry.incarnation};
         if (as_ready(view, &said) != before) {
             this->update_candidates();
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -134,13 +134,32 @@
         this->place(false);
         return;
     }
-    this->stages.emplace(this->route, this->request, *this->config,
-                         this->due - usual_first_event,
-                         this->deadline - usual_first_event, this->priority,
-                         this->zone);
+    this->stages.emplace(
+        this->route, this->request, *this->config,
+        this->due - usual_first_event, this->deadline - usual_first_event,
+        this->priority, this->zone,
+        [this](const auto& handle) { return this->zone_of_result(handle); });
     this->run_stages();
 }
 
+auto request_flow::zone_of_result(const std::string& handle) const
+    -> core::zone_name
+{
+    const auto holder = adapter::result_holder(handle);
+    return holder ? this->shared.known.zone_at(*holder) : core::zone_name();
+}
+
+auto request_flow::work_of(std::size_t stage) const -> dispatch::stage_work
+{
+    auto work = this->stages->work_of(stage);
+    const auto& zones =
+        this->shared.known.usable_zones(this->stages->service_of(stage));
+    if (!zones.contains(work.zone)) {
+        work.zone = this->zone;
+    }
+    return work;
+}
+
 auto request_flow::run_stages() -> void
 {
     if (this->stages->is_complete()) {
@@ -153,7 +172,7 @@
             return;
         }
         this->stage_calls.push_back(this->shared.dispatch.run_stage(
-            this->stages->service_of(stage), this->stages->work_of(stage),
+            this->stages->service_of(stage), this->work_of(stage),
             [self, stage, round = this->stage_restarts](
                 const dispatch::stage_outcome& outcome) {
                 if (self->is_over || round != self->stage_restarts) {
@@ -271,9 +290,7 @@
         const auto handles = this->stages->inputs();
         const auto sizes = this->stages->input_bytes();
         for (auto index = std::size_t(0); index < handles.size(); ++index) {
-            const auto holder = adapter::result_holder(handles[index]);
-            const auto at = holder ? this->shared.known.zone_at(*holder)
-                                   : core::zone_name();
+            const auto at = this->zone_of_result(handles[index]);
             if (!at.empty()) {
                 wanted.inputs.push_back({at, sizes[index]});
             }
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -55,6 +55,9 @@
     [[nodiscard]] auto zone_shares() const -> std::map<core::zone_name, double>;
     auto choose_service() -> void;
 
+    [[nodiscard]] auto zone_of_result(const std::string& handle) const
+        -> core::zone_name;
+    [[nodiscard]] auto work_of(std::size_t stage) const -> dispatch::stage_work;
     auto run_stages() -> void;
     auto on_stage(std::size_t stage, const dispatch::stage_outcome& outcome)
         -> void;
--- a/src/services/gateway/stage_plan.cpp
+++ b/src/services/gateway/stage_plan.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/stage_limits.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace almondtiller::gateway {
@@ -18,13 +19,15 @@
                        const serving::caller_request& from,
                        const serving::configuration& config,
                        core::time_point due_at, core::time_point deadline_at,
-                       int rank, core::zone_name preferred)
+                       int rank, core::zone_name preferred,
+                       zone_of_result held_in)
     : request(from.id),
       key(from.piece_key),
       due(due_at),
       deadline(deadline_at),
       priority(rank),
-      zone(std::move(preferred))
+      zone(std::move(preferred)),
+      holder(std::move(held_in))
 {
     for (auto index = std::size_t(0); index < route.stages.size(); ++index) {
         auto made = entry();
@@ -107,12 +110,36 @@
     work.due = this->due - dispatch::as_duration(stage.time_after);
     work.deadline = this->deadline - dispatch::as_duration(stage.time_after);
     work.priority = this->priority;
-    work.zone = this->zone;
+    work.zone = this->zone_for(stage);
     work.result_bytes = stage.spec.result_bytes;
     work.transfer_bytes = this->transfer_bytes(index);
     return work;
 }
 
+auto stage_plan::zone_for(const entry& stage) const -> core::zone_name
+{
+    auto held = std::map<core::zone_name, std::uint64_t>();
+    for (const auto before : stage.spec.after) {
+        if (before < this->stages.size()) {
+            const auto& input = this->stages[before];
+            for (const auto& handle : input.handles) {
+                held[this->holder(handle)] +=
+                    input.spec.result_bytes * stage.pieces;
+            }
+        }
+    }
+    held.erase(core::zone_name());
+    const auto most = std::max_element(held.begin(), held.end(),
+                                       [](const auto& left, const auto& right) {
+                                           return left.second < right.second;
+                                       });
+    if (most == held.end()) {
+        return this->zone;
+    }
+    const auto saved = most->second - held[this->zone];
+    return saved >= dispatch::large_transfer_bytes ? most->first : this->zone;
+}
+
 auto stage_plan::transfer_bytes(std::size_t index) const -> std::uint64_t
 {
     const auto& stage = this->stages[index];
--- a/src/services/gateway/stage_plan.h
+++ b/src/services/gateway/stage_plan.h
@@ -6,6 +6,7 @@
 #include "serving/configuration.h"
 #include "serving/request.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -25,11 +26,17 @@
 class stage_plan
 {
 public:
+    /// \return Where a result is held, empty if that is not known.
+    using zone_of_result =
+        std::function<core::zone_name(const std::string& handle)>;
+
     /// \param due The request is late if its stages end after that.
+    /// \param zone Where the request itself will run.
     stage_plan(const serving::route& route,
                const serving::caller_request& request,
                const serving::configuration& config, core::time_point due,
-               core::time_point deadline, int priority, core::zone_name zone);
+               core::time_point deadline, int priority, core::zone_name zone,
+               zone_of_result holder);
 
     /// \return Stages that can start now; they count as started.
     auto start_ready() -> std::vector<std::size_t>;
@@ -73,6 +80,10 @@
     [[nodiscard]] auto inputs_of(const entry& stage) const
         -> std::vector<std::string>;
     [[nodiscard]] auto transfer_bytes(std::size_t stage) const -> std::uint64_t;
+    /// Load pattern: a stage that is short of room in its own zone is done in
+    /// another, and each piece of the next one takes all of its results.
+    /// \return The zone in which a stage moves the fewest bytes.
+    [[nodiscard]] auto zone_for(const entry& stage) const -> core::zone_name;
     auto release(std::size_t stage) -> released_results;
 
     std::vector<entry> stages;
@@ -82,6 +93,7 @@
     core::time_point deadline;
     int priority;
     core::zone_name zone;
+    zone_of_result holder;
 };
 
 } // namespace almondtiller::gateway
--- a/tests/unit/gateway/stage_plan_test.cpp
+++ b/tests/unit/gateway/stage_plan_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace almondtiller::gateway {
 namespace {
 
@@ -37,13 +39,19 @@
                 this->due,
                 this->due + std::chrono::seconds(4),
                 1,
-                core::zone_name("z")};
+                core::zone_name("z"),
+                [this](const auto& handle) {
+                    const auto found = this->zones.find(handle);
+                    return found == this->zones.end() ? core::zone_name()
+                                                      : found->second;
+                }};
     }
 
     serving::route route;
     serving::caller_request request;
     serving::configuration config;
     core::time_point due{std::chrono::hours(1)};
+    std::map<std::string, core::zone_name> zones;
 };
 
 } // namespace
@@ -111,6 +119,28 @@
     EXPECT_EQ(plan.work_of(3).transfer_bytes, 3U * 60000U + 6000U);
 }
 
+// Load pattern: a zone short of upstreams for one stage has it done in another
+// one; there each piece of the next stage takes all of the results.
+TEST_F(stage_plan_test, a_stage_runs_where_most_of_its_inputs_are)
+{
+    this->request.pieces = {0, 1, 3, 8};
+    auto plan = this->plan();
+    plan.start_ready();
+    this->zones["h1"] = core::zone_name("y");
+    plan.on_done(1, {"h1"});
+    EXPECT_EQ(plan.work_of(2).zone, core::zone_name("z"))
+        << "3 x 8 kB are not worth leaving the request's zone";
+    plan.start_ready();
+    for (const auto* handle : {"h2", "h3"}) {
+        this->zones[handle] = core::zone_name("y");
+    }
+    this->zones["h4"] = core::zone_name("z");
+    plan.on_done(2, {"h2", "h3", "h4"});
+    EXPECT_EQ(plan.work_of(3).zone, core::zone_name("y"));
+    this->zones.clear();
+    EXPECT_EQ(plan.work_of(3).zone, core::zone_name("z"));
+}
+
 TEST_F(stage_plan_test, leaves_out_stages_without_pieces)
 {
     this->request.pieces = {0, 1, 3, 1};
