Try slow stage upstreams again after a second

Cause: an upstream whose calls had taken over twice their time was used only under pressure, and one fast call left most of its measured slowness in place. Change: a slow upstream takes one call a second, and the newest call weighs 0.7 (measured calls of a stage take 0.9 to 1.2 of their time at 98 in 100). Test: stage_queue_test takes_back_an_upstream_that_is_no_longer_slow, which fails without the change.

--- a/src/libs/dispatch/stage_call_filling.cpp
+++ b/src/libs/dispatch/stage_call_filling.cpp
@@ -45,6 +45,12 @@
     engine.unknown_until = now + unknown_room_time;
 }
 
+auto stage_queue::is_slow(const engine_state& engine, core::time_point now)
+    -> bool
+{
+    return engine.slowness >= slow_ratio && now - engine.tried < slow_retest;
+}
+
 auto stage_queue::idle_engines(core::time_point now)
     -> std::vector<engine_state*>
 {
@@ -62,9 +68,8 @@
     const auto is_pressed =
         this->waiting_pieces() > fast * 2 * this->pool.batch;
     if (!is_pressed && fast > 0) {
-        std::erase_if(idle, [](const auto* engine) {
-            return engine->slowness >= slow_ratio;
-        });
+        std::erase_if(
+            idle, [now](const auto* engine) { return is_slow(*engine, now); });
     }
     std::stable_sort(idle.begin(), idle.end(),
                      [](const auto* left, const auto* right) {
@@ -179,6 +184,7 @@
         std::chrono::duration_cast<core::duration>(expected * overdue_factor) +
         overdue_slack;
     engine.call = call.id;
+    engine.tried = now;
     engine.busy_until = call.expected_end;
     this->calls[call.id] = std::move(carried);
     return call;
--- a/src/libs/dispatch/stage_limits.h
+++ b/src/libs/dispatch/stage_limits.h
@@ -14,10 +14,12 @@
 /// the time that it has; a byte saved matters less than an answer on time.
 inline constexpr auto home_wait_share = 0.4;
 /// An upstream whose calls take that much longer than nominal is used only
-/// under pressure.
+/// under pressure, and for one call at a time to see whether it still is slow.
 inline constexpr auto slow_ratio = 2.0;
-/// Weight of the newest call in an upstream's measured slowness.
-inline constexpr auto slowness_weight = 0.3;
+inline constexpr auto slow_retest = core::milliseconds(1000);
+/// Weight of the newest call in an upstream's measured slowness: one call
+/// shows most of it, as calls of a stage take nearly the same time.
+inline constexpr auto slowness_weight = 0.7;
 /// A call is overdue after this multiple of its expected time plus a slack
 /// for the fetching of inputs; its pieces then go elsewhere as well.
 inline constexpr auto overdue_factor = 2.0;
--- a/src/libs/dispatch/stage_queue.h
+++ b/src/libs/dispatch/stage_queue.h
@@ -146,6 +146,8 @@
         core::time_point blocked_until;
         /// Measured time of calls against the nominal one.
         double slowness = 1.0;
+        /// When it last took a call or was late with one.
+        core::time_point tried;
         routing::outlier_detector health;
         std::map<std::string, held_result> results;
         /// Room taken by results that this queue does not know, as the
@@ -205,6 +207,9 @@
     [[nodiscard]] auto ends_at_home_in_time(const stage_work& work,
                                             std::size_t ahead,
                                             core::time_point now) const -> bool;
+    /// \return Whether its calls are known to take too long now.
+    [[nodiscard]] static auto is_slow(const engine_state& engine,
+                                      core::time_point now) -> bool;
     auto idle_engines(core::time_point now) -> std::vector<engine_state*>;
     auto fill_call(engine_state& engine,
                    const std::vector<const work_state*>& works,
--- a/src/libs/dispatch/stage_results.cpp
+++ b/src/libs/dispatch/stage_results.cpp
@@ -51,6 +51,7 @@
             std::chrono::duration<double>(now - taken->sent) /
             std::chrono::duration<double>(this->call_time(results.size()));
         state.slowness += (ratio - state.slowness) * slowness_weight;
+        state.tried = now;
         static_cast<void>(
             state.health.on_success(now - taken->sent, core::duration(0), now));
     }
@@ -163,6 +164,7 @@
         if (engine != this->engines.end()) {
             engine->second.slowness =
                 std::max(engine->second.slowness, slow_ratio * 1.5);
+            engine->second.tried = now;
         }
         for (const auto& ref : call.pieces) {
             const auto work = this->works.find(ref.ticket);
--- a/tests/unit/dispatch/stage_queue_test.cpp
+++ b/tests/unit/dispatch/stage_queue_test.cpp
@@ -457,6 +457,40 @@
     EXPECT_GE(accepted, 2U);
 }
 
+// Load pattern: an upstream that was slow for some seconds is fast again while
+// a load comes that the others just bear, so that it is never pressed for.
+TEST_F(stage_queue_test, takes_back_an_upstream_that_is_no_longer_slow)
+{
+    this->queue.set_engines({engine("a", "za"), engine("b", "za")});
+    auto ticket = std::uint64_t(0);
+    const auto two_full_calls = [&]() {
+        for (auto call = 0; call < 2; ++call) {
+            this->queue.submit(this->work(++ticket, 8, std::chrono::seconds(3)),
+                               this->now);
+        }
+        return this->take_calls();
+    };
+    const auto end = [&](const stage_call& call, core::duration time) {
+        this->now += time;
+        this->queue.on_results(call.id, this->results(call), this->now);
+    };
+    const auto first = two_full_calls();
+    ASSERT_EQ(first.size(), 2U);
+    end(first[0], milliseconds(280));
+    end(first[1], milliseconds(920));
+    const auto beside_slow = two_full_calls();
+    ASSERT_EQ(beside_slow.size(), 1U) << "the other has shown that it is slow";
+    end(beside_slow[0], milliseconds(280));
+    end(this->take_calls().at(0), milliseconds(280));
+
+    this->now += milliseconds(1000);
+    const auto again = two_full_calls();
+    ASSERT_EQ(again.size(), 2U) << "it is tried again";
+    end(again[0], milliseconds(280));
+    end(again[1], milliseconds(0));
+    EXPECT_EQ(two_full_calls().size(), 2U) << "and has shown that it is fast";
+}
+
 RC_GTEST_PROP(stage_queue, ends_every_work_once,
               (std::vector<std::pair<std::uint8_t, std::uint8_t>> steps))
 {
