Start a stage when its results will be needed

Cause: all stages without inputs started at once. Where one stands beside a chain of three, its results of 3 MB each waited 300 to 400 ms for the chain and kept the room that more urgent requests with such results needed: after the closing faults calls of the narrowest stage carried one or two pieces for lack of room. Change: stage_plan starts a stage once the rest of the request takes at most 1.5 times as long as the stage itself.

--- a/src/services/gateway/stage_plan.cpp
+++ b/src/services/gateway/stage_plan.cpp
@@ -12,6 +12,9 @@
 
 /// Usual wait before a stage's call and transfer of its results.
 constexpr auto usual_wait_ms = 60.0;
+/// A stage starts when others will need up to that multiple of its own time;
+/// above 1, as its wait may be longer than theirs.
+constexpr auto early_start = 1.5;
 
 } // namespace
 
@@ -59,18 +62,35 @@
     }
 }
 
+auto stage_plan::path(const entry& stage)
+    -> std::chrono::duration<double, std::milli>
+{
+    return std::chrono::duration<double, std::milli>(usual_wait_ms) +
+           stage.own_time + stage.time_after;
+}
+
+auto stage_plan::has_inputs(const entry& stage) const -> bool
+{
+    return std::all_of(stage.spec.after.begin(), stage.spec.after.end(),
+                       [this](auto before) {
+                           return before >= this->stages.size() ||
+                                  this->stages[before].is_done;
+                       });
+}
+
 auto stage_plan::start_ready() -> std::vector<std::size_t>
 {
+    auto longest = std::chrono::duration<double, std::milli>(0);
+    for (const auto& stage : this->stages) {
+        if (!stage.is_done && this->has_inputs(stage)) {
+            longest = std::max(longest, path(stage));
+        }
+    }
     auto ready = std::vector<std::size_t>();
     for (auto index = std::size_t(0); index < this->stages.size(); ++index) {
         auto& stage = this->stages[index];
-        const auto has_inputs =
-            std::all_of(stage.spec.after.begin(), stage.spec.after.end(),
-                        [this](auto before) {
-                            return before >= this->stages.size() ||
-                                   this->stages[before].is_done;
-                        });
-        if (!stage.is_started && has_inputs) {
+        if (!stage.is_started && this->has_inputs(stage) &&
+            path(stage) * early_start >= longest) {
             stage.is_started = true;
             ready.push_back(index);
         }
--- a/src/services/gateway/stage_plan.h
+++ b/src/services/gateway/stage_plan.h
@@ -38,7 +38,10 @@
                core::time_point deadline, int priority, core::zone_name zone,
                zone_of_result holder);
 
-    /// \return Stages that can start now; they count as started.
+    /// Load pattern: in a burst, results that wait for a chain of other stages
+    /// fill the room of their upstreams, whose calls then carry one piece.
+    /// \return Stages that can start now and whose results won't wait long for
+    ///         those of others; they count as started.
     auto start_ready() -> std::vector<std::size_t>;
 
     [[nodiscard]] auto work_of(std::size_t stage) const -> dispatch::stage_work;
@@ -75,6 +78,11 @@
         std::vector<std::string> handles;
     };
 
+    /// \return Usual time from the start of a stage to the end of the
+    ///         request's last stage.
+    [[nodiscard]] static auto path(const entry& stage)
+        -> std::chrono::duration<double, std::milli>;
+    [[nodiscard]] auto has_inputs(const entry& stage) const -> bool;
     [[nodiscard]] auto is_consumed_later(std::size_t stage) const -> bool;
     [[nodiscard]] auto has_consumer(std::size_t stage) const -> bool;
     [[nodiscard]] auto inputs_of(const entry& stage) const
--- a/tests/unit/gateway/stage_plan_test.cpp
+++ b/tests/unit/gateway/stage_plan_test.cpp
@@ -59,7 +59,7 @@
 TEST_F(stage_plan_test, runs_stages_after_those_whose_results_they_take)
 {
     auto plan = this->plan();
-    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{0, 1}));
+    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{1}));
     EXPECT_TRUE(plan.start_ready().empty());
     EXPECT_EQ(plan.work_of(0).items[0].key, "key");
     EXPECT_TRUE(plan.on_done(1, {"h1"}).empty());
@@ -108,6 +108,24 @@
     EXPECT_FALSE(plan.is_complete());
 }
 
+// Load pattern: a stage beside a chain, whose large results would wait for it.
+TEST_F(stage_plan_test, a_stage_starts_when_its_results_will_be_needed)
+{
+    auto plan = this->plan();
+    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{1}));
+    plan.on_done(1, {"h1"});
+    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{2}));
+    plan.on_done(2, {"h2", "h3", "h4"});
+    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{0, 3}));
+}
+
+TEST_F(stage_plan_test, stages_of_the_same_length_start_together)
+{
+    this->request.pieces = {2, 1, 0, 0};
+    auto plan = this->plan();
+    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{0, 1}));
+}
+
 // Load pattern: pieces of a later stage each take all results of the one
 // before, which made most of the bytes that crossed zones.
 TEST_F(stage_plan_test, counts_the_bytes_that_would_cross_zones)
--- /dev/null
+++ b/tests/unit/gateway/stage_room_replay_test.cpp
@@ -0,0 +1,245 @@
+#include "core/random.h"
+#include "services/gateway/stage_plan.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+#include <memory>
+
+namespace almondtiller::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Urgent requests of one stage with large results, and between them less
+/// urgent ones with large results beside a chain of three stages; against three
+/// upstreams a service with room for 12 large results at each.
+class stage_room_replay : public testing::Test
+{
+protected:
+    stage_room_replay()
+    {
+        this->add_service("feed", 8, milliseconds(16), 36000000);
+        this->add_service("map", 16, milliseconds(8), 2900000);
+        this->add_service("auth", 32, milliseconds(4), 580000);
+        const auto stage = [](const char* service,
+                              std::vector<std::size_t> after,
+                              std::uint64_t bytes) {
+            return serving::stage{serving::service_name(service),
+                                  std::move(after), bytes};
+        };
+        this->route.stages = {stage("feed", {}, 3000000),
+                              stage("feed", {}, 8000), stage("map", {1}, 60000),
+                              stage("auth", {2}, 6000)};
+    }
+
+    auto add_service(const std::string& name, std::uint32_t batch,
+                     core::milliseconds item_time, std::uint64_t room) -> void
+    {
+        auto pool = serving::stage_pool();
+        pool.batch = batch;
+        pool.call_time = milliseconds(150);
+        pool.item_time = item_time;
+        pool.room_bytes = room;
+        pool.result_life = std::chrono::seconds(4);
+        auto service = serving::service();
+        service.stages = pool;
+        const auto id = serving::service_name(name);
+        this->config.services[id] = service;
+        auto& queue = this->queues.emplace(id, pool).first->second;
+        auto engines = std::vector<dispatch::stage_engine>();
+        for (auto index = 0; index < 3; ++index) {
+            const auto text = name + std::to_string(index);
+            engines.push_back({core::upstream_id(text),
+                               {"127.0.0.1", 80},
+                               core::zone_name("z")});
+        }
+        queue.set_engines(engines);
+    }
+
+    struct running_request
+    {
+        std::unique_ptr<stage_plan> plan;
+        core::time_point due;
+        core::time_point released;
+        core::time_point large_made;
+        bool is_complete = false;
+    };
+    struct running_call
+    {
+        serving::service_name service;
+        dispatch::stage_call call;
+        core::time_point end;
+    };
+
+    auto submit_ready(std::uint64_t number) -> void
+    {
+        auto& request = this->requests[number];
+        for (const auto stage : request.plan->start_ready()) {
+            auto work = request.plan->work_of(stage);
+            work.ticket = number * this->route.stages.size() + stage;
+            const auto& service = request.plan->service_of(stage);
+            if (this->queues.at(service).submit(std::move(work), this->now)) {
+                this->free(request.plan->reset());
+                this->requests.erase(number);
+                return;
+            }
+        }
+    }
+
+    auto free(const std::vector<released_results>& results) -> void
+    {
+        for (const auto& part : results) {
+            for (const auto& handle : part.handles) {
+                this->queues.at(part.service).on_freed(handle);
+            }
+        }
+    }
+
+    auto take(const dispatch::stage_effects& effects) -> void
+    {
+        for (const auto& outcome : effects.outcomes) {
+            const auto stages = this->route.stages.size();
+            const auto found = this->requests.find(outcome.ticket / stages);
+            if (found == this->requests.end()) {
+                continue;
+            }
+            auto& request = found->second;
+            if (outcome.status != dispatch::stage_status::done) {
+                this->free(request.plan->reset());
+                this->requests.erase(found);
+                continue;
+            }
+            if (outcome.ticket % stages == 0) {
+                request.large_made = this->now;
+            }
+            this->free(request.plan->on_done(outcome.ticket % stages,
+                                             outcome.handles));
+            request.is_complete = request.plan->is_complete();
+            if (request.is_complete) {
+                this->on_time += this->now <= request.due ? 1 : 0;
+                this->idle_results += this->now - request.large_made;
+                // The model engine takes the inputs once it begins to answer.
+                request.released = this->now + milliseconds(350);
+            } else {
+                this->submit_ready(outcome.ticket / stages);
+            }
+        }
+    }
+
+    auto end_calls() -> void
+    {
+        auto ended = std::vector<running_call>();
+        std::erase_if(this->calls, [&](const auto& running) {
+            const auto is_over = running.end <= this->now;
+            if (is_over) {
+                ended.push_back(running);
+            }
+            return is_over;
+        });
+        for (const auto& running : ended) {
+            auto results = std::vector<serving::stage_result>();
+            for (auto index = std::size_t(0); index < running.call.items.size();
+                 ++index) {
+                results.push_back({"h" + std::to_string(++this->handles),
+                                   serving::stage_failure::none});
+            }
+            this->take(this->queues.at(running.service)
+                           .on_results(running.call.id, results, this->now));
+        }
+    }
+
+    auto start_calls() -> void
+    {
+        for (auto& [service, queue] : this->queues) {
+            this->take(queue.on_time(this->now));
+            while (auto call = queue.next_call(this->now)) {
+                const auto end = call->expected_end;
+                this->calls.push_back({service, std::move(*call), end});
+            }
+        }
+    }
+
+    auto release_taken() -> void
+    {
+        std::erase_if(this->requests, [this](auto& item) {
+            auto& request = item.second;
+            const auto is_over =
+                request.is_complete && request.released <= this->now;
+            if (is_over) {
+                this->free(request.plan->reset());
+            }
+            return is_over;
+        });
+    }
+
+    static auto is_urgent(std::uint64_t number) -> bool
+    {
+        return number % 2 == 0;
+    }
+
+    /// Requests come at random, and three seconds more until all are done.
+    /// \param gap Between two requests, on average.
+    auto play(core::duration gap, int count) -> void
+    {
+        auto next = this->now;
+        auto number = std::uint64_t(0);
+        const auto end = this->now + gap * count + std::chrono::seconds(3);
+        while (this->now < end) {
+            if (next <= this->now && int(number) < count) {
+                const auto drawn = -std::log(1.0 - this->random.unit());
+                next += std::chrono::duration_cast<core::duration>(gap * drawn);
+                this->add_request(++number);
+            }
+            this->end_calls();
+            this->start_calls();
+            this->release_taken();
+            this->now += milliseconds(2);
+        }
+    }
+
+    auto add_request(std::uint64_t number) -> void
+    {
+        auto request = serving::caller_request();
+        request.id = core::request_id("r" + std::to_string(number));
+        request.piece_key = "key";
+        const auto urgent = is_urgent(number);
+        request.pieces = urgent ? std::vector<std::uint32_t>{3, 0, 0, 0}
+                                : std::vector<std::uint32_t>{3, 1, 8, 16};
+        auto& added = this->requests[number];
+        added.due = this->now + milliseconds(urgent ? 950 : 1250);
+        added.plan = std::make_unique<stage_plan>(
+            this->route, request, this->config, added.due,
+            this->now + std::chrono::seconds(6), urgent ? 1 : 2,
+            core::zone_name("z"),
+            [](const auto&) { return core::zone_name("z"); });
+        this->submit_ready(number);
+    }
+
+    serving::route route;
+    serving::configuration config;
+    std::map<serving::service_name, dispatch::stage_queue> queues;
+    std::map<std::uint64_t, running_request> requests;
+    std::vector<running_call> calls;
+    core::time_point now{std::chrono::hours(1)};
+    std::uint64_t handles = 0;
+    int on_time = 0;
+    core::random_source random{7};
+    /// How long large results have waited for the rest of their stages.
+    core::duration idle_results{0};
+};
+
+// Load pattern: less urgent requests whose large results wait for the rest of
+// their stages take the room that urgent requests need in a burst.
+TEST_F(stage_room_replay, large_results_are_made_when_they_are_needed)
+{
+    constexpr auto requests_played = 600;
+    this->play(milliseconds(80), requests_played);
+    EXPECT_GE(this->on_time * 100, requests_played * 97);
+    EXPECT_LE(this->idle_results / (requests_played / 2), milliseconds(200))
+        << "the stages of a request take 600 ms and more";
+}
+
+} // namespace
+} // namespace almondtiller::gateway
