Tell callers in an outage to come back as late as they can

Cause: a node that knows no configuration told everybody to come back after 300 ms. Change: dispatch::outage_retry gives a third of what the caller has left, spread over its last 30 %, once the store has failed to answer, and 100 ms to a node that is just starting. Telling from its deadline that a request has come back, and putting it behind new ones, was weighed and not tried: deadlines of first attempts differ by 15 %, and callers with shorter deadlines would always go last.

--- a/src/services/gateway/node_front.cpp
+++ b/src/services/gateway/node_front.cpp
@@ -1,5 +1,6 @@
 #include "services/gateway/node_state.h"
 
+#include "dispatch/outage_retry.h"
 #include "platform/caller_messages.h"
 #include "services/gateway/directory_choice.h"
 #include "services/gateway/owner_choice.h"
@@ -167,9 +168,16 @@
     const auto leaves_soon =
         this->is_leaving &&
         this->owner.now() - this->leave_started > accept_while_leaving;
-    if (!this->follower.is_complete() || leaves_soon) {
-        this->reject(exchange, request.id, unavailable,
-                     leaves_soon ? "leaving" : "not_ready", not_ready_retry);
+    if (leaves_soon) {
+        this->reject(exchange, request.id, unavailable, "leaving",
+                     leaving_retry);
+        return;
+    }
+    if (!this->follower.is_complete()) {
+        this->reject(exchange, request.id, unavailable, "not_ready",
+                     dispatch::outage_retry(
+                         request.deadline.value_or(default_deadline),
+                         this->follower.is_store_lost(), this->random.unit()));
         return;
     }
     const auto config = this->known.config();
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -25,7 +25,8 @@
 /// window may hold half of the first sends that a repeat was allowed for.
 inline constexpr auto own_share_of_budget = 0.5;
 inline constexpr auto sweep_interval = core::milliseconds(2000);
-inline constexpr auto not_ready_retry = core::milliseconds(300);
+/// Callers of a leaving node return to others, of which they mostly know.
+inline constexpr auto leaving_retry = core::milliseconds(300);
 inline constexpr auto leave_check = core::milliseconds(50);
 
 inline constexpr auto ok = 200;
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -176,6 +176,15 @@
            this->mirrors[index_of(object_kind::evacuations)]->has_list();
 }
 
+auto store_follower::is_store_lost() const -> bool
+{
+    return std::any_of(this->mirrors.begin(), this->mirrors.end(),
+                       [](const auto& mirror) {
+                           return !mirror->is_connected() &&
+                                  mirror->last_failure() != core::time_point();
+                       });
+}
+
 auto store_follower::on_configuration() -> void
 {
     const auto& objects =
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -51,6 +51,9 @@
     /// \return Whether enough is known to serve.
     [[nodiscard]] auto is_complete() const -> bool;
 
+    /// \return Whether the store has failed to answer since it last answered.
+    [[nodiscard]] auto is_store_lost() const -> bool;
+
     /// Registers this node, again until it has worked.
     auto announce() -> void;
     /// Takes the own registration back.
