Log the time to the first event and the longest pause of a stream

Cause: whether a stream was late by its first event or by a pause could not be told from the logs. Change: the line that ends a request has first_event_ms and longest_pause_ms. Test: none of its own; the whole path writes the line.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -122,7 +122,14 @@
     if (whole.empty()) {
         return;
     }
+    const auto now = this->shared.owner.now();
+    if (this->first_event) {
+        this->longest_pause =
+            std::max(this->longest_pause, now - this->last_event);
+    }
+    this->last_event = now;
     if (!this->caller->is_started()) {
+        this->first_event = now;
         this->caller->start(this->verdict.status,
                             adapter::answer_headers(*this->head), std::nullopt);
         if (this->stages) {
--- a/src/services/gateway/request_end.cpp
+++ b/src/services/gateway/request_end.cpp
@@ -91,6 +91,10 @@
          {"route", this->route.name},
          {"config", std::to_string(this->config->version)},
          {"elapsed_ms", this->elapsed_ms()},
+         {"first_event_ms", this->first_event
+                                ? ms_text(*this->first_event - this->accepted)
+                                : std::string("none")},
+         {"longest_pause_ms", ms_text(this->longest_pause)},
          {"attempts", std::to_string(this->attempts)},
          {"turned_away", std::to_string(this->turned_away)},
          {"left_ms", ms_text(this->deadline - this->shared.owner.now())},
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -128,6 +128,10 @@
     std::string body;
     event_stream events;
     bool is_stream = false;
+    /// When the first event went to the caller.
+    std::optional<core::time_point> first_event;
+    core::time_point last_event;
+    core::duration longest_pause{0};
     bool is_over = false;
 };
 
