Tell a new owner which prompts were read lately

Cause: what upstreams keep of prompts is known to the owner of their service only. When it is stopped or lost, the next one sends sessions elsewhere, where their shared parts are read again, which also delays other streams there. Change: each node remembers the requests of the last 10 s that have ended, 64 at the most, and announces them to a new owner as it does with running ones. Test: owner_change_test, for each node as the one that stays; two of three fail without the change.

--- a/src/services/gateway/dispatch_client.cpp
+++ b/src/services/gateway/dispatch_client.cpp
@@ -16,6 +16,10 @@
 constexpr auto report_limit = core::milliseconds(2000);
 /// An owner answers every message in time, as it ends what is overdue.
 constexpr auto answer_slack = core::milliseconds(500);
+/// Upstreams mostly still have a prompt that they have read in that time.
+constexpr auto cache_memory = core::milliseconds(10000);
+/// Bounds what a new owner is told by one node.
+constexpr auto most_recent = std::size_t(64);
 /// After that many owners the work stays on this node.
 constexpr auto most_owners = 3;
 
@@ -56,6 +60,37 @@
             this->announce(entry);
         }
     }
+    this->announce_recent();
+}
+
+auto dispatch_client::announce_recent() -> void
+{
+    const auto oldest = this->owner.now() - cache_memory;
+    for (auto& [request, ended] : this->recent) {
+        const auto& message = request.message;
+        const auto node = this->owner_of(message.service, message.request.zone);
+        if (node == request.owner || ended < oldest) {
+            continue;
+        }
+        this->announce(request);
+        this->queue_report(node, {message.service,
+                                  message.request.request,
+                                  false,
+                                  true,
+                                  dispatch::work_end::completed,
+                                  {}});
+    }
+}
+
+auto dispatch_client::remember(active ended) -> void
+{
+    const auto now = this->owner.now();
+    while (!this->recent.empty() &&
+           (this->recent.size() >= most_recent ||
+            this->recent.front().ended < now - cache_memory)) {
+        this->recent.pop_front();
+    }
+    this->recent.push_back({std::move(ended), now});
 }
 
 auto dispatch_client::owner_of(const serving::service_name& service,
@@ -292,7 +327,16 @@
                                    dispatch::work_end how) -> void
 {
     this->queue_report({service, request, false, true, how, {}});
-    this->placed.erase(request);
+    const auto found = this->placed.find(request);
+    if (found == this->placed.end()) {
+        return;
+    }
+    const auto& prompt = found->second.message.request.prompt;
+    // The last part is the request's own, nobody else will ask for it.
+    if (how == dispatch::work_end::completed && prompt.size() > 1) {
+        this->remember(std::move(found->second));
+    }
+    this->placed.erase(found);
 }
 
 auto dispatch_client::queue_report(const report_message& message) -> void
--- a/src/services/gateway/dispatch_client.h
+++ b/src/services/gateway/dispatch_client.h
@@ -4,6 +4,7 @@
 #include "services/gateway/owner_choice.h"
 #include "services/gateway/peer_mesh.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -74,6 +75,11 @@
         place_message message;
         core::node_id owner;
     };
+    struct ended_request
+    {
+        active request;
+        core::time_point ended;
+    };
 
     /// \param submit Carries the work to its owner, again after its loss.
     /// \return The work's number.
@@ -91,6 +97,11 @@
         -> void;
     auto send_reports() -> void;
     auto announce(active& placed) -> void;
+    /// Tells a new owner which prompts upstreams have read lately, as it would
+    /// otherwise send the next request of a session elsewhere. Load pattern:
+    /// nodes that are stopped in turn, with long shared prompts.
+    auto announce_recent() -> void;
+    auto remember(active ended) -> void;
 
     event::loop& owner;
     core::node_id self;
@@ -101,6 +112,8 @@
     std::vector<owner_candidate> candidates;
     std::map<std::uint64_t, pending> work;
     std::map<core::request_id, active> placed;
+    /// Requests that have ended lately, oldest first.
+    std::deque<ended_request> recent;
     std::map<core::node_id, std::vector<report_message>> reports;
     std::uint64_t last_number = 0;
     event::timer report_timer;
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -20,7 +20,8 @@
 }
 
 auto request_text(const call_record& record, const std::string& key,
-                  const std::string& session) -> std::string
+                  const std::string& session, std::uint64_t shared_tokens)
+    -> std::string
 {
     auto request = http1::request_message();
     request.method = record.path == "read" ? "GET" : "POST";
@@ -31,9 +32,12 @@
                        {"Authorization", "Bearer " + key}};
     if (is_stream(record.path)) {
         request.headers.add("X-Almondtiller-Model", "m");
-        request.headers.add("X-Almondtiller-Token-Counts", "100,20");
+        constexpr auto own_tokens = std::uint64_t(40);
+        request.headers.add("X-Almondtiller-Token-Counts",
+                            std::to_string(shared_tokens + own_tokens) + ",20");
         request.headers.add("X-Almondtiller-Prompt-Prefix",
-                            session + ":60,9b:40");
+                            session + ":" + std::to_string(shared_tokens) +
+                                ",9b:" + std::to_string(own_tokens));
     }
     if (record.path == "staged") {
         request.headers.add("X-Almondtiller-Pieces", "2,3");
@@ -50,9 +54,11 @@
 world_caller::world_caller(world& home) : around(home), pool(home.loop)
 {}
 
-auto world_caller::set_sessions(std::uint64_t count) -> void
+auto world_caller::set_sessions(std::uint64_t count, std::uint64_t tokens)
+    -> void
 {
     this->sessions = count;
+    this->shared_tokens = tokens;
 }
 
 auto world_caller::call(const core::endpoint& front, const std::string& path,
@@ -85,8 +91,8 @@
     auto options = http1::call_options();
     options.longest_idle = core::milliseconds(2000);
     this->pool.call({core::to_text(front), front},
-                    request_text(record, key, session), options,
-                    std::move(hooks));
+                    request_text(record, key, session, this->shared_tokens),
+                    options, std::move(hooks));
     return record;
 }
 
--- a/tests/fakes/gateway_world/world_caller.h
+++ b/tests/fakes/gateway_world/world_caller.h
@@ -38,7 +38,9 @@
               const std::string& key = "key") -> call_record&;
 
     /// Prompts share a part with one in so many; 0: with all.
-    auto set_sessions(std::uint64_t sessions) -> void;
+    /// \param tokens Size of that part.
+    auto set_sessions(std::uint64_t sessions, std::uint64_t tokens = 60)
+        -> void;
 
     /// Waits for a call's end.
     auto wait(const call_record& record) -> bool;
@@ -57,6 +59,7 @@
     std::vector<std::unique_ptr<call_record>> calls;
     std::uint64_t last = 0;
     std::uint64_t sessions = 0;
+    std::uint64_t shared_tokens = 60;
 };
 
 } // namespace almondtiller::gateway_world
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -542,6 +542,52 @@
     })) << "the others know the fourth";
 }
 
+/// The owner of the model service is lost; the nodes that stay are named by
+/// their place.
+class owner_change_test : public whole_path_test,
+                          public testing::WithParamInterface<std::size_t>
+{};
+
+// Load pattern: nodes that are stopped in turn. A new owner that knows nothing
+// of the prompts that were read lately has them read again elsewhere.
+TEST_P(owner_change_test, sessions_stay_at_upstreams_that_know_their_prompts)
+{
+    constexpr auto sessions = 8;
+    this->caller.set_sessions(sessions, 6000);
+    const auto stays = GetParam();
+    const auto register_others = [this](const char* state) {
+        for (const auto* name : {"model1-b", "model2-a", "model2-b"}) {
+            this->world.register_upstream(*this->world.upstreams[name], state);
+        }
+    };
+    const auto wait_usable = [this](double upstreams) {
+        EXPECT_TRUE(this->world.run_until([this, upstreams]() {
+            return this->metric("almondtiller_gateway_usable_upstreams{"
+                                "service=\"model\"}") == upstreams;
+        }));
+    };
+    register_others("draining");
+    wait_usable(3);
+    for (auto session = 0; session < sessions; ++session) {
+        EXPECT_EQ(this->ask("stream", stays).status, 200);
+    }
+    register_others("ready");
+    wait_usable(12);
+    for (auto at = this->nodes.size(); at-- > 0;) {
+        if (at != stays) {
+            this->nodes.erase(this->nodes.begin() + std::ptrdiff_t(at));
+        }
+    }
+    const auto begin = this->world.clock.now();
+    for (auto session = 0; session < sessions; ++session) {
+        EXPECT_EQ(this->ask("stream").status, 200);
+    }
+    EXPECT_EQ(this->arrivals_since(begin, "model1-a"), std::size_t(sessions));
+    this->expect_no_faults();
+}
+
+INSTANTIATE_TEST_SUITE_P(nodes, owner_change_test, testing::Values(0, 1, 2));
+
 /// A node that starts while the lists of the store are not at rest.
 class late_start_test : public whole_path_test
 {
