Refuse at once what all upstreams have failed

Cause: found on reading. A request whose upstreams had all failed it, or could not be reached, waited at the owner until its deadline, with none left that it could get; its caller then had no time to come back. Test: placement_test refuses_at_once_what_all_upstreams_have_failed.

--- a/src/libs/dispatch/placement.cpp
+++ b/src/libs/dispatch/placement.cpp
@@ -37,6 +37,14 @@
 /// A plain upstream's usual time for a request, before any is known.
 constexpr auto plain_ms = 60.0;
 
+auto is_excluded(const placement_request& request,
+                 const core::upstream_id& upstream) -> bool
+{
+    const auto& excluded = request.excluded;
+    return std::find(excluded.begin(), excluded.end(), upstream) !=
+           excluded.end();
+}
+
 auto milliseconds_of(core::duration time) -> double
 {
     return std::chrono::duration<double, std::milli>(time).count();
@@ -140,12 +148,18 @@
     return open;
 }
 
+auto placement::has_candidate(const placement_request& request) const -> bool
+{
+    return std::any_of(this->upstreams.begin(), this->upstreams.end(),
+                       [&request](const auto& item) {
+                           return !is_excluded(request, item.first);
+                       });
+}
+
 auto placement::fits(const upstream_state& state,
                      const waiting_request& waiting) const -> bool
 {
-    const auto& excluded = waiting.request.excluded;
-    if (std::find(excluded.begin(), excluded.end(), state.known.upstream.id) !=
-        excluded.end()) {
+    if (is_excluded(waiting.request, state.known.upstream.id)) {
         return false;
     }
     return !this->service.model || state.in_flight == 0 ||
@@ -264,7 +278,7 @@
         outcome.ticket = request.ticket;
         auto* chosen = this->choose(open, waiting, now);
         if (chosen == nullptr && request.deadline > now &&
-            !this->upstreams.empty()) {
+            this->has_candidate(request)) {
             if (&*kept != &waiting) {
                 *kept = std::move(waiting);
             }
--- a/src/libs/dispatch/placement.h
+++ b/src/libs/dispatch/placement.h
@@ -163,6 +163,9 @@
         -> bool;
     [[nodiscard]] auto open_upstreams(core::time_point now)
         -> std::vector<upstream_state*>;
+    /// \return Whether an upstream may serve it, now or once it has room.
+    [[nodiscard]] auto has_candidate(const placement_request& request) const
+        -> bool;
     [[nodiscard]] auto fits(const upstream_state& state,
                             const waiting_request& waiting) const -> bool;
     [[nodiscard]] auto cost(const upstream_state& state,
--- a/tests/unit/dispatch/placement_test.cpp
+++ b/tests/unit/dispatch/placement_test.cpp
@@ -98,6 +98,20 @@
     EXPECT_EQ(this->place(wanted), "b");
 }
 
+// Load pattern: a small service whose upstreams have all failed a request. It
+// waited for its deadline, with no upstream left that it could get.
+TEST_F(placement_test, refuses_at_once_what_all_upstreams_have_failed)
+{
+    auto failed = this->request(1, "s");
+    failed.excluded = {core::upstream_id("a"), core::upstream_id("b"),
+                       core::upstream_id("c")};
+    this->places.submit(failed, this->now);
+    const auto outcomes = this->places.next(this->now);
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].status, placement_status::refused);
+    EXPECT_EQ(this->places.waiting(), 0U);
+}
+
 TEST_F(placement_test, an_excluded_upstream_is_not_chosen_again)
 {
     const auto first = this->place(this->request(1, "s"));
