Take no stream that a leaving node would cut

Ruled out: lost answers or a reset; the log shows the node's own end of the stream. Change: dispatch::takes_while_leaving. Everything is taken for 2.5 s, within which callers hear that the node leaves; after that what can end before the cut, short requests later than before. The rest is told to come back, and finds other nodes.

--- a/src/services/gateway/node_front.cpp
+++ b/src/services/gateway/node_front.cpp
@@ -1,5 +1,6 @@
 #include "services/gateway/node_state.h"
 
+#include "dispatch/leaving_admission.h"
 #include "dispatch/outage_retry.h"
 #include "platform/caller_messages.h"
 #include "services/gateway/directory_choice.h"
@@ -155,6 +156,19 @@
                                        : std::string("none")}});
 }
 
+auto node::state::takes(const serving::caller_request& request,
+                        const serving::route& route) const -> bool
+{
+    if (!this->is_leaving) {
+        return true;
+    }
+    const auto leaving = this->owner.now() - this->leave_started;
+    const auto patience =
+        std::min(request.deadline.value_or(default_deadline), route.timeout);
+    return dispatch::takes_while_leaving(
+        leaving, this->settings.grace - stop_margin - leaving, patience);
+}
+
 auto node::state::on_front_request(
     const http1::request_message& message,
     const std::shared_ptr<http1::exchange>& exchange) -> void
@@ -165,14 +179,6 @@
         return;
     }
     auto& request = decoded.value();
-    const auto leaves_soon =
-        this->is_leaving &&
-        this->owner.now() - this->leave_started > accept_while_leaving;
-    if (leaves_soon) {
-        this->reject(exchange, request.id, unavailable, "leaving",
-                     leaving_retry);
-        return;
-    }
     if (!this->follower.is_complete()) {
         this->reject(exchange, request.id, unavailable, "not_ready",
                      dispatch::outage_retry(
@@ -186,6 +192,11 @@
         this->reject(exchange, request.id, not_found, "no_route", std::nullopt);
         return;
     }
+    if (!this->takes(request, *route)) {
+        this->reject(exchange, request.id, unavailable, "leaving",
+                     leaving_retry);
+        return;
+    }
     const serving::workspace* workspace = nullptr;
     if (config->has_workspaces && route->needs_key) {
         workspace = config->find_workspace(request.api_key);
--- a/src/services/gateway/node_leave.cpp
+++ b/src/services/gateway/node_leave.cpp
@@ -49,7 +49,7 @@
         for (const auto& connection : open) {
             connection->close_if_idle();
         }
-        if (this->flows.empty() && elapsed > accept_while_leaving) {
+        if (this->flows.empty() && elapsed > stay_while_leaving) {
             this->finish_leaving();
             return;
         }
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -15,8 +15,8 @@
 /// How long callers keep an answer of the directory; some keep it three
 /// times as long.
 inline constexpr auto directory_lifetime = core::milliseconds(2000);
-/// A leaving node takes requests that long, as callers still know it.
-inline constexpr auto accept_while_leaving = core::milliseconds(3500);
+/// A leaving node stays that long, as callers still know it.
+inline constexpr auto stay_while_leaving = core::milliseconds(3500);
 /// Requests end that long before the process is killed.
 inline constexpr auto stop_margin = core::milliseconds(700);
 /// Idle connections of callers close that long after leaving began.
@@ -142,6 +142,9 @@
                 const core::request_id& request, int status,
                 std::string_view reason,
                 std::optional<core::milliseconds> retry_after) -> void;
+    /// \return Whether a node that may be leaving takes a request.
+    [[nodiscard]] auto takes(const serving::caller_request& request,
+                             const serving::route& route) const -> bool;
     auto on_front_request(const http1::request_message& message,
                           const std::shared_ptr<http1::exchange>& exchange)
         -> void;
