Let calls go on while their node registers anew

Ruled out: two owners of a shard in steady state; before the fault 36 calls had failed. The upstreams' 503 is no answer to another owner's calls alone. Change: peer_mesh keeps a connection whose address stays and over which the peer was heard within the last second, or which is being made.

--- a/src/services/gateway/peer_liveness.cpp
+++ b/src/services/gateway/peer_liveness.cpp
@@ -28,6 +28,15 @@
                             : beat_interval;
 }
 
+auto peer_mesh::state::reaches(const peer_link& link,
+                               const adapter::node_entry& entry) const -> bool
+{
+    const auto is_heard =
+        link.stream && this->owner.now() - link.heard < restart_time;
+    return link.view.entry.peers == entry.peers &&
+           (is_heard || link.is_connecting);
+}
+
 auto peer_mesh::state::update_gossip(
     const std::vector<adapter::node_entry>& members) -> void
 {
--- a/src/services/gateway/peer_mesh.cpp
+++ b/src/services/gateway/peer_mesh.cpp
@@ -50,7 +50,8 @@
         wanted.insert(member.node);
         auto& link = links[member.node];
         if (link.view.entry != member) {
-            if (!link.view.entry.node.empty()) {
+            const auto is_known = !link.view.entry.node.empty();
+            if (is_known && !this->data->reaches(link, member)) {
                 this->data->drop_link(link, "replaced");
             }
             link.view.entry = member;
--- a/src/services/gateway/peer_mesh_state.h
+++ b/src/services/gateway/peer_mesh_state.h
@@ -29,6 +29,10 @@
 /// doubles with each failure in a row.
 inline constexpr auto reconnect_pause = core::milliseconds(1000);
 inline constexpr auto most_doublings = 3;
+/// A connection over which a peer was heard since then is one to the process
+/// that has registered now: a machine needs longer to start again, and that of
+/// a process that ended is closed.
+inline constexpr auto restart_time = core::milliseconds(1000);
 inline constexpr auto peer_connect_limit = core::milliseconds(400);
 inline constexpr auto beat_topic = "beat";
 
@@ -122,6 +126,13 @@
     [[nodiscard]] auto reconnect_time(const peer_link& link) const
         -> core::milliseconds;
     [[nodiscard]] auto is_silent(const peer_link& link) const -> bool;
+    /// Load pattern: all nodes are restarted at once. Hundreds register anew
+    /// while calls to them are under way; if those failed, each node would own
+    /// all services by itself.
+    /// \return Whether the connection, or the one that is being made, is to
+    ///         the process that the entry names.
+    [[nodiscard]] auto reaches(const peer_link& link,
+                               const adapter::node_entry& entry) const -> bool;
     auto start_gossip() -> void;
     /// Takes what gossip says of who lives, in a large fleet.
     auto take_gossip() -> void;
