Remove what refusals for room taught

After a refusal for room, the room that its call had not explained was believed to be taken for 400 ms. Calls then carried one to five pieces, and a call with one takes more than half as long as a full one, so that the narrowest stage lost most of its capacity just after a change of its owner.

--- a/src/libs/dispatch/stage_call_filling.cpp
+++ b/src/libs/dispatch/stage_call_filling.cpp
@@ -28,23 +28,10 @@
 auto stage_queue::room_left(engine_state& engine, core::time_point now)
     -> std::uint64_t
 {
-    auto used = this->room_used(engine, now);
-    if (now < engine.unknown_until) {
-        used += engine.unknown_bytes;
-    }
+    const auto used = this->room_used(engine, now);
     return used < this->pool.room_bytes ? this->pool.room_bytes - used : 0;
 }
 
-auto stage_queue::learn_room(engine_state& engine, std::uint64_t known_before,
-                             std::uint64_t made, core::time_point now) -> void
-{
-    const auto explained = known_before + made;
-    engine.unknown_bytes = explained < this->pool.room_bytes
-                               ? this->pool.room_bytes - explained
-                               : 0;
-    engine.unknown_until = now + unknown_room_time;
-}
-
 auto stage_queue::is_slow(const engine_state& engine, core::time_point now)
     -> bool
 {
--- a/src/libs/dispatch/stage_limits.h
+++ b/src/libs/dispatch/stage_limits.h
@@ -29,10 +29,6 @@
 inline constexpr auto least_share = 0.05;
 /// Pause of an upstream that was full.
 inline constexpr auto full_pause = core::milliseconds(40);
-/// Results of unknown origin, as of a former owner of the service, are
-/// believed to take room for that long before room is tried again.
-inline constexpr auto unknown_room_time = core::milliseconds(400);
-
 inline auto as_duration(std::chrono::duration<double, std::milli> time)
     -> core::duration
 {
--- a/src/libs/dispatch/stage_queue.h
+++ b/src/libs/dispatch/stage_queue.h
@@ -150,10 +150,6 @@
         core::time_point tried;
         routing::outlier_detector health;
         std::map<std::string, held_result> results;
-        /// Room taken by results that this queue does not know, as the
-        /// upstream's refusals have shown; believed until then.
-        std::uint64_t unknown_bytes = 0;
-        core::time_point unknown_until;
     };
     struct piece
     {
@@ -202,8 +198,6 @@
                                   core::time_point now) const -> bool;
     auto room_used(engine_state& engine, core::time_point now) -> std::uint64_t;
     auto room_left(engine_state& engine, core::time_point now) -> std::uint64_t;
-    auto learn_room(engine_state& engine, std::uint64_t known_before,
-                    std::uint64_t made, core::time_point now) -> void;
     [[nodiscard]] auto ends_at_home_in_time(const stage_work& work,
                                             std::size_t ahead,
                                             core::time_point now) const -> bool;
--- a/src/libs/dispatch/stage_results.cpp
+++ b/src/libs/dispatch/stage_results.cpp
@@ -41,12 +41,8 @@
         return effects;
     }
     const auto engine = this->engines.find(taken->engine);
-    auto known_before = std::uint64_t(0);
-    auto made = std::uint64_t(0);
-    auto lacks_room = false;
     if (engine != this->engines.end()) {
         auto& state = engine->second;
-        known_before = this->room_used(state, now);
         const auto ratio =
             std::chrono::duration<double>(now - taken->sent) /
             std::chrono::duration<double>(this->call_time(results.size()));
@@ -64,7 +60,6 @@
         if (!result.handle.empty()) {
             const auto bytes =
                 work == this->works.end() ? 0 : work->second.work.result_bytes;
-            made += bytes;
             if (engine != this->engines.end()) {
                 engine->second.results[result.handle] = {
                     bytes, now + std::chrono::duration_cast<core::duration>(
@@ -80,8 +75,6 @@
             }
             continue;
         }
-        lacks_room =
-            lacks_room || result.failure == serving::stage_failure::no_room;
         if (!is_wanted) {
             continue;
         }
@@ -92,9 +85,6 @@
         auto& piece = work->second.pieces[ref.index];
         piece.is_waiting = piece.calls == 0;
     }
-    if (lacks_room && engine != this->engines.end()) {
-        this->learn_room(engine->second, known_before, made, now);
-    }
     return effects;
 }
 
