Log the inputs of an attempt and the end of idle connections

The logs could not tell them apart: `sent` did not say how many inputs went along or whether it resumed a stream, and nothing told when and why an idle connection of a caller was closed. `sent` has `inputs` and `resumes` now, `idle_connection_closed` the idle time and the limit in force, and `configuration_in_force` the two timeouts of callers' connections.

No decision changes.

--- a/src/libs/http1/server_connection.cpp
+++ b/src/libs/http1/server_connection.cpp
@@ -163,13 +163,8 @@
     : event_loop(loop),
       stream(std::move(accepted)),
       options(std::move(shared)),
-      timeout(loop, [this]() {
-          if (this->is_reading_request) {
-              this->reject(http1_errc::timed_out);
-          } else {
-              this->close();
-          }
-      })
+      timeout(loop, [this]() { this->on_timeout(); }),
+      idle_since(loop.now())
 {}
 
 auto server_connection::start() -> void
@@ -198,6 +193,19 @@
                             : this->options->idle_timeout());
 }
 
+auto server_connection::on_timeout() -> void
+{
+    if (this->is_reading_request) {
+        this->reject(http1_errc::timed_out);
+        return;
+    }
+    if (this->options->on_idle_timeout) {
+        this->options->on_idle_timeout(this->event_loop.now() -
+                                       this->idle_since);
+    }
+    this->close();
+}
+
 auto server_connection::on_bytes(std::string_view bytes) -> void
 {
     this->parser.feed(bytes);
@@ -260,6 +268,7 @@
         }
         return;
     }
+    this->idle_since = this->event_loop.now();
     this->parser.set_limits(this->options->limits());
     this->stream->resume_reading();
     this->restart_timer();
--- a/src/libs/http1/server_connection.h
+++ b/src/libs/http1/server_connection.h
@@ -69,6 +69,10 @@
     std::function<bool()> is_draining;
     /// Called once, when the connection stops serving requests.
     std::function<void(const std::shared_ptr<server_connection>&)> on_closed;
+    /// Called before a connection is closed because no request arrived in time.
+    /// \param idle_for Time since the last response or since the connection was
+    ///        accepted.
+    std::function<void(core::duration idle_for)> on_idle_timeout;
     /// Called when a request is rejected as invalid, too large or incomplete.
     std::function<void(std::error_code)> on_bad_request;
 };
@@ -97,6 +101,7 @@
     auto reject(std::error_code error) -> void;
     auto on_exchange_finished(bool keep_alive) -> void;
     auto restart_timer() -> void;
+    auto on_timeout() -> void;
 
     event::loop& event_loop;
     std::shared_ptr<event::tcp_stream> stream;
@@ -104,6 +109,8 @@
     request_parser parser;
     std::shared_ptr<exchange> current;
     event::timer timeout;
+    /// When the last response ended or the connection was accepted.
+    core::time_point idle_since;
     bool keep_alive = true;
     bool is_closed = false;
     bool is_reading_request = false;
--- a/src/services/gateway/node_front.cpp
+++ b/src/services/gateway/node_front.cpp
@@ -71,6 +71,14 @@
     options->on_closed = [this](const auto& connection) {
         this->connections.erase(connection);
     };
+    options->on_idle_timeout = [this, limits](core::duration idle_for) {
+        const auto& config = this->serving_state.config();
+        this->log.write(severity::notice, "idle_connection_closed",
+                        {{"idle_ms", ms_text(idle_for)},
+                         {"limit_ms", ms_text(limits().idle_timeout)},
+                         {"config", config ? std::to_string(config->version)
+                                           : std::string("none")}});
+    };
     options->on_bad_request = [this](std::error_code error) {
         this->metrics.count_outcome("malformed", error.message());
         this->log.write(severity::failure, "malformed_request",
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -45,6 +45,8 @@
          {"owner",
           this->shared.dispatch.owner_of(this->service, this->zone).str()},
          {"attempt", std::to_string(this->attempts)},
+         {"inputs", std::to_string(send_parameters.inputs.size())},
+         {"resumes", this->events.last_id().empty() ? "no" : "yes"},
          {"left_ms", ms_text(send_parameters.time_left)},
          {"elapsed_ms", this->elapsed_ms()}});
     auto options = http1::call_options();
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -205,13 +205,16 @@
     }
     const auto version = decoded.value().version;
     const auto routes = decoded.value().routes.size();
+    const auto limits = decoded.value().limits;
     if (this->serving_state.apply(
             std::make_shared<const serving::configuration>(
                 std::move(decoded.value())))) {
         this->log.write(severity::notice, "configuration_in_force",
                         {{"version", std::to_string(version)},
                          {"revision", std::to_string(found->second.revision)},
-                         {"routes", std::to_string(routes)}});
+                         {"routes", std::to_string(routes)},
+                         {"header_timeout_ms", ms_text(limits.header_timeout)},
+                         {"idle_timeout_ms", ms_text(limits.idle_timeout)}});
         this->notify_changed();
     }
 }
