Add failing tests of resumable streams that are cut

A route that is resumable and has stages was tested nowhere; the world of the whole-path tests has one now, and upstreams that pause in the middle of a stream.

--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -335,7 +335,10 @@
                                const std::shared_ptr<http1::exchange>& exchange)
     -> void
 {
-    this->after(event_gap, [this, request, first, exchange]() {
+    const auto is_pause = this->mode == upstream_mode::pauses_streams &&
+                          first == stream_events / 2;
+    const auto delay = is_pause ? stream_pause : event_gap;
+    this->after(delay, [this, request, first, exchange]() {
         if (exchange->is_finished()) {
             return;
         }
--- a/tests/fakes/gateway_world/world.cpp
+++ b/tests/fakes/gateway_world/world.cpp
@@ -23,7 +23,7 @@
             {"service", service},
             {"maxAttempts", attempts},
             {"public", false},
-            {"resumable", path == "resumable"}};
+            {"resumable", path.ends_with("resumable")}};
 }
 
 auto stage_service(const std::string& name) -> json
@@ -201,15 +201,20 @@
 auto world::put_config(const std::vector<std::string>& keys, int more_routes)
     -> void
 {
-    auto staged = route("staged", "streaming", "model", 1);
-    staged["stages"] = json::array(
+    const auto stages = json::array(
         {{{"service", "feed"}, {"after", json::array()}, {"bytes", 8000}},
          {{"service", "map"}, {"after", {0}}, {"bytes", 60000}}});
+    auto staged = route("staged", "streaming", "model", 1);
+    staged["stages"] = stages;
+    auto staged_resumable = route("staged_resumable", "streaming", "model", 3);
+    staged_resumable["stages"] = stages;
     const auto model =
         json{{"name", "model"},
              {"maxConns", 100},
              {"engine", {{"slots", 32}, {"kvCapacityTokens", 100000}}}};
-    auto routes = json{staged, route("stream", "streaming", "model", 1),
+    auto routes = json{staged,
+                       staged_resumable,
+                       route("stream", "streaming", "model", 1),
                        route("resumable", "streaming", "model", 3),
                        route("read", "idempotent", "desk", 3),
                        route("book", "non_idempotent", "desk", 1)};
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -11,7 +11,7 @@
 
 auto is_repeatable(const std::string& path) -> bool
 {
-    return path == "read" || path == "resumable";
+    return path == "read" || path.ends_with("resumable");
 }
 
 auto is_stream(const std::string& path) -> bool
@@ -39,7 +39,7 @@
                             session + ":" + std::to_string(shared_tokens) +
                                 ",9b:" + std::to_string(own_tokens));
     }
-    if (record.path == "staged") {
+    if (record.path.starts_with("staged")) {
         request.headers.add("X-Almondtiller-Pieces", "2,3");
         request.headers.add("X-Almondtiller-Piece-Key", "piece");
     }
--- a/tests/fakes/gateway_world/world_caller.h
+++ b/tests/fakes/gateway_world/world_caller.h
@@ -33,8 +33,8 @@
 public:
     explicit world_caller(world& environment);
 
-    /// Sends a request on a route ("staged", "stream", "resumable", "read",
-    /// "book").
+    /// Sends a request on a route ("staged", "staged_resumable", "stream",
+    /// "resumable", "read", "book").
     auto call(const core::endpoint& front, const std::string& path,
               const std::string& key = "key") -> call_record&;
 
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -179,6 +179,32 @@
         return most;
     }
 
+    auto set_model_mode(upstream_mode mode) -> void
+    {
+        for (const auto& [id, upstream] : this->world.upstreams) {
+            if (upstream->service() == "model") {
+                upstream->set_mode(mode);
+            }
+        }
+    }
+
+    /// Sends a resumable request with stages.
+    /// \param mode The mode of the upstream that receives it first; all others
+    ///        work.
+    auto call_with_first_upstream(upstream_mode mode) -> const call_record&
+    {
+        this->set_model_mode(mode);
+        const auto& record = this->caller.call(this->nodes[0]->settings.front,
+                                               "staged_resumable");
+        EXPECT_TRUE(this->world.run_until(
+            [this]() { return !this->world.journal.runs.empty(); }));
+        const auto first = this->world.journal.runs.front().upstream;
+        this->set_model_mode(upstream_mode::works);
+        this->world.upstreams.at(first)->set_mode(mode);
+        EXPECT_TRUE(this->caller.wait(record));
+        return record;
+    }
+
     auto expect_no_faults() -> void
     {
         EXPECT_EQ(this->caller.violations(), std::vector<std::string>());
@@ -302,6 +328,50 @@
     this->expect_no_faults();
 }
 
+// The results of a request's stages are freed at the first event, but another
+// upstream needs them to resume the stream.
+TEST_F(whole_path_test, a_staged_stream_continues_at_another_upstream)
+{
+    const auto& record =
+        this->call_with_first_upstream(upstream_mode::aborts_answers);
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(record.is_complete);
+    EXPECT_EQ(this->world.journal.runs.size(), 2U);
+    this->expect_no_faults();
+}
+
+// The same for a sound upstream that is silent for a moment.
+TEST_F(whole_path_test, a_silent_staged_stream_reaches_its_end)
+{
+    const auto& record =
+        this->call_with_first_upstream(upstream_mode::pauses_streams);
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(record.is_complete);
+    this->expect_no_faults();
+}
+
+// A sound upstream may be silent for a moment. While no other upstream can
+// continue its stream, the node must not break the stream off.
+TEST_F(whole_path_test, a_silent_stream_is_kept_while_no_upstream_can_resume_it)
+{
+    this->set_model_mode(upstream_mode::pauses_streams);
+    const auto& record =
+        this->caller.call(this->nodes[0]->settings.front, "resumable");
+    ASSERT_TRUE(this->world.run_until(
+        [this]() { return this->world.journal.runs.size() == 1; }));
+    for (const auto& [id, upstream] : this->world.upstreams) {
+        if (upstream->service() == "model" &&
+            id != this->world.journal.runs.front().upstream) {
+            this->world.register_upstream(*upstream, "draining");
+        }
+    }
+    ASSERT_TRUE(this->caller.wait(record));
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(record.is_complete);
+    EXPECT_EQ(record.body, gateway_world::expected_body(record.id, true));
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+}
+
 TEST_F(whole_path_test, retries_rejected_requests_at_another_upstream)
 {
     this->world.upstreams["desk-a"]->set_mode(upstream_mode::rejects_all);
