Run the stages of a resumed stream again

What callers saw: an answer that ended in the middle.

Cause: the results of the stages are freed at the first event of the answer. A request that resumed the stream was sent without inputs; five upstreams turned it away with 400, and the stream was broken off. Streams without stages were not affected, and the only test of resumed streams had none.

Why this works: where the results are freed, the stages run again before the request is placed, at the time that is left. A stage that has no time left ends the stream, no longer a 503 after its first event, which was ignored.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -146,7 +146,7 @@
         this->caller->start(this->verdict.status,
                             adapter::answer_headers(*this->head), std::nullopt);
         if (this->stages) {
-            this->release(this->stages->reset());
+            this->reset_stages();
         }
     }
     this->caller->send(complete_events);
--- a/src/services/gateway/request_end.cpp
+++ b/src/services/gateway/request_end.cpp
@@ -23,6 +23,22 @@
     }
 }
 
+auto request_flow::give_up(std::string_view reason,
+                           core::milliseconds retry_after) -> void
+{
+    if (this->caller->is_started()) {
+        this->abort_answer(reason);
+    } else if (this->head && !is_success(this->verdict.status) &&
+               !this->verdict.not_run) {
+        // No retry is possible: the caller gets the upstream's error answer.
+        this->on_answer();
+    } else if (this->attempts > 0) {
+        this->fail(bad_gateway, reason);
+    } else {
+        this->reject(reason, retry_after);
+    }
+}
+
 auto request_flow::on_deadline() -> void
 {
     this->end_incomplete("time_over", gateway_timeout);
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -168,7 +168,7 @@
 auto request_flow::run_stages() -> void
 {
     if (this->stages->is_complete()) {
-        this->place(false);
+        this->place(this->attempts > 0);
         return;
     }
     const auto self = this->shared_from_this();
@@ -178,9 +178,9 @@
         }
         this->stage_numbers.push_back(this->shared.dispatch.run_stage(
             this->stages->service_of(stage), this->work_of(stage),
-            [self, stage, round = this->stage_restarts](
-                const dispatch::stage_outcome& outcome) {
-                if (self->is_finished || round != self->stage_restarts) {
+            [self, stage,
+             run = this->stage_run](const dispatch::stage_outcome& outcome) {
+                if (self->is_finished || run != self->stage_run) {
                     if (!outcome.handles.empty()) {
                         self->release({{self->stages->service_of(stage),
                                         outcome.handles}});
@@ -205,23 +205,29 @@
         this->restart_stages();
         return;
     case dispatch::stage_status::rejected:
-        this->reject("stage_overloaded", outcome.retry_after);
+        this->give_up("stage_overloaded", outcome.retry_after);
         return;
     case dispatch::stage_status::failed:
-        this->reject("stage_failed", min_retry_delay);
+        this->give_up("stage_failed", min_retry_delay);
         return;
     }
 }
 
-auto request_flow::restart_stages() -> void
+auto request_flow::reset_stages() -> void
 {
     for (const auto number : std::exchange(this->stage_numbers, {})) {
         this->shared.dispatch.cancel(number);
     }
     this->release(this->stages->reset());
+    ++this->stage_run;
+}
+
+auto request_flow::restart_stages() -> void
+{
+    this->reset_stages();
     ++this->stage_restarts;
     if (this->stage_restarts > max_stage_restarts) {
-        this->reject("results_lost", min_retry_delay);
+        this->give_up("results_lost", min_retry_delay);
         return;
     }
     this->shared.metrics.count_retry("results_lost");
@@ -266,6 +272,11 @@
 
 auto request_flow::place(bool is_retry) -> void
 {
+    if (this->stages && !this->stages->is_complete()) {
+        this->shared.metrics.count_retry("results_freed");
+        this->run_stages();
+        return;
+    }
     auto placement = dispatch::placement_request();
     if (!this->shared.serving_state.usable_zones(this->service)
              .contains(this->zone)) {
@@ -326,15 +337,11 @@
         return;
     }
     if (this->caller->is_started()) {
-        this->abort_answer("no_upstream_to_resume");
-    } else if (this->head && !is_success(this->verdict.status) &&
-               !this->verdict.not_run) {
-        // No retry is possible: the caller gets the upstream's error answer.
-        this->on_answer();
+        this->give_up("no_upstream_to_resume", outcome.retry_after);
     } else if (this->attempts > 0) {
-        this->fail(bad_gateway, "no_upstream_for_repeat");
+        this->give_up("no_upstream_for_repeat", outcome.retry_after);
     } else {
-        this->reject("no_upstream", outcome.retry_after);
+        this->give_up("no_upstream", outcome.retry_after);
     }
 }
 
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -63,6 +63,9 @@
     auto on_stage_outcome(std::size_t stage,
                           const dispatch::stage_outcome& outcome) -> void;
     auto restart_stages() -> void;
+    /// Cancels stage work under way and frees the results of the stages, which
+    /// run again if another upstream has to be found.
+    auto reset_stages() -> void;
     auto release(const std::vector<released_results>& results) -> void;
 
     /// \return The earliest end of a hold-off if every usable upstream of the
@@ -71,8 +74,12 @@
     [[nodiscard]] auto earliest_hold_off_end(
         const std::map<core::upstream_id, core::time_point>& hold_offs) const
         -> std::optional<core::time_point>;
+    /// Finds an upstream. Stages whose results were freed run again first.
     auto place(bool is_retry) -> void;
     auto on_placed(const dispatch::placement_outcome& outcome) -> void;
+    /// Ends the request because it cannot be sent to another upstream.
+    auto give_up(std::string_view reason, core::milliseconds retry_after)
+        -> void;
     auto send(const serving::upstream& upstream) -> void;
     auto on_head(http1::response_head head) -> void;
     auto on_body(std::string_view bytes) -> void;
@@ -118,6 +125,8 @@
     /// Number of the pending placement, 0 if there is none.
     std::uint64_t placement_number = 0;
     int stage_restarts = 0;
+    /// Incremented when results are freed; outcomes of earlier runs are unused.
+    int stage_run = 0;
 
     std::optional<serving::upstream> upstream;
     /// Upstream of the last attempt; kept after the attempt ends.
