Keep a silent attempt until another upstream is found

What callers saw: an answer that ended in the middle, or 502, although the upstream was sound and would have gone on.

Cause: an attempt without progress was cancelled first, and only then was another upstream sought. If there was none, if the retry budget was spent, or if the stages of a resumed stream had too little time left, the request ended there: a stream was cut, an idempotent request got 502.

Why this works: the attempt stays open while its replacement is sought, and is cancelled when an upstream is granted, before the request is sent there, so that no request runs at two upstreams. An answer or an event of the silent upstream ends the search; a refusal leaves the attempt as it is, and it is tried again after the same time. The owner counts the silent attempt as failed, as before, and has a record of it again when it stays.

--- a/src/services/gateway/dispatch_client.cpp
+++ b/src/services/gateway/dispatch_client.cpp
@@ -208,9 +208,7 @@
                               this->event_loop.now()});
         }
         if (outcome.status == dispatch::placement_status::granted) {
-            auto kept = placed_request{message, node};
-            kept.message.placed_at = outcome.upstream.id;
-            this->placed_requests[message.request.request] = std::move(kept);
+            this->record_placed(message, node, outcome.upstream.id);
         }
         if (is_wanted) {
             done(outcome);
--- a/src/services/gateway/dispatch_client.h
+++ b/src/services/gateway/dispatch_client.h
@@ -45,6 +45,10 @@
 
     auto cancel(std::uint64_t number) -> void;
 
+    /// Restores the owner's record of a placed request, which ends when another
+    /// upstream is requested for it.
+    auto announce_again(const core::request_id& request) -> void;
+
     /// Reports to the owner that the answer of a placed request has begun.
     auto report_started(const serving::service_name& service,
                         const core::request_id& request) -> void;
@@ -109,6 +113,9 @@
         -> void;
     auto send_reports() -> void;
     auto announce(placed_request& entry) -> void;
+    /// Records a grant, and ends the record of an earlier owner.
+    auto record_placed(const place_message& message, const core::node_id& owner,
+                       const core::upstream_id& upstream) -> void;
     /// Announces requests that have ended recently to new owners, so that these
     /// have a record of the prompts that the upstreams have processed.
     /// Otherwise a new owner would send the next request of a session to
--- a/src/services/gateway/dispatch_reports.cpp
+++ b/src/services/gateway/dispatch_reports.cpp
@@ -85,6 +85,36 @@
                     });
 }
 
+auto dispatch_client::announce_again(const core::request_id& request) -> void
+{
+    const auto found = this->placed_requests.find(request);
+    if (found != this->placed_requests.end()) {
+        this->announce(found->second);
+    }
+}
+
+auto dispatch_client::record_placed(const place_message& message,
+                                    const core::node_id& owner,
+                                    const core::upstream_id& upstream) -> void
+{
+    const auto& request = message.request.request;
+    const auto earlier = this->placed_requests.find(request);
+    if (earlier != this->placed_requests.end() &&
+        earlier->second.owner != owner) {
+        this->queue_report(earlier->second.owner,
+                           {message.service,
+                            request,
+                            false,
+                            true,
+                            dispatch::attempt_end::failed,
+                            {},
+                            {}});
+    }
+    auto placed = placed_request{message, owner};
+    placed.message.placed_at = upstream;
+    this->placed_requests[request] = std::move(placed);
+}
+
 auto dispatch_client::report_started(const serving::service_name& service,
                                      const core::request_id& request) -> void
 {
--- a/src/services/gateway/placement_dispatcher.cpp
+++ b/src/services/gateway/placement_dispatcher.cpp
@@ -102,7 +102,16 @@
         return;
     }
     const auto& request = message.request.request;
-    this->end(*shard_state, request, dispatch::attempt_end::cancelled);
+    const auto earlier = this->find(message.service, request);
+    if (earlier != this->owned_shards.end()) {
+        // The upstream of an attempt that is retried before it has ended does
+        // not respond.
+        const auto is_silent =
+            message.request.is_retry && message.placed_at.empty();
+        this->end(*earlier->second, request,
+                  is_silent ? dispatch::attempt_end::failed
+                            : dispatch::attempt_end::cancelled);
+    }
     message.request.ticket = ticket;
     shard_state->requests[ticket] = request;
     auto& created = shard_state->entries[request];
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -10,14 +10,18 @@
 
 auto request_flow::send(const serving::upstream& granted) -> void
 {
-    this->upstream = granted;
     const auto now = this->shared.event_loop.now();
     if (!this->shared.serving_state.may_send(granted.id, now)) {
         this->excluded.push_back(granted.id);
-        this->end_attempt(dispatch::attempt_end::cancelled);
+        this->shared.dispatch.report_ended(this->service, this->request.id,
+                                           dispatch::attempt_end::cancelled);
         this->place(this->attempts > 0);
         return;
     }
+    if (this->is_replacing) {
+        this->cancel_silent_attempt();
+    }
+    this->upstream = granted;
     auto send_parameters = serving::upstream_send();
     send_parameters.expected = granted.id;
     send_parameters.time_left = to_ms(this->deadline - now);
@@ -102,6 +106,9 @@
         this->on_attempt_failed(http1::http1_errc::unexpected_bytes, true);
         return;
     }
+    if (this->is_replacing) {
+        this->keep_silent_attempt();
+    }
     this->head = std::move(answer);
     this->is_stream = is_success(this->verdict.status) &&
                       this->route.kind == serving::route_kind::streaming;
@@ -135,6 +142,9 @@
     if (complete_events.empty()) {
         return;
     }
+    if (this->is_replacing) {
+        this->keep_silent_attempt();
+    }
     const auto now = this->shared.event_loop.now();
     if (this->first_event) {
         this->longest_pause =
@@ -178,6 +188,9 @@
     } else if (this->verdict.not_run) {
         this->on_not_run();
     } else {
+        if (this->is_replacing) {
+            this->keep_silent_attempt();
+        }
         this->on_answer();
     }
 }
@@ -191,6 +204,10 @@
                             {"upstream", this->upstream->id.str()},
                             {"status", std::to_string(this->verdict.status)},
                             {"elapsed_ms", this->elapsed_ms()}});
+    if (this->is_replacing) {
+        this->drop_silent_attempt();
+        return;
+    }
     this->excluded.push_back(this->upstream->id);
     this->end_attempt(dispatch::attempt_end::rejected);
     if (this->verdict.status == conflict && this->stages) {
@@ -242,17 +259,14 @@
 
 auto request_flow::on_attempt_failed(std::error_code error, bool sent) -> void
 {
-    this->shared.log.write(
-        severity::failure, "attempt_broken",
-        {{"request", this->request.id.str()},
-         {"upstream", this->upstream ? this->upstream->id.str() : ""},
-         {"error", error.message()},
-         {"sent", sent ? "yes" : "no"},
-         {"events", std::to_string(this->events.event_count())},
-         {"attempts", std::to_string(this->attempts)},
-         {"elapsed_ms", this->elapsed_ms()}});
+    this->log_broken_attempt(error, sent);
     this->progress_timer.stop();
     this->head.reset();
+    if (this->is_replacing) {
+        this->attempts -= sent ? 0 : 1;
+        this->drop_silent_attempt();
+        return;
+    }
     if (this->upstream) {
         this->excluded.push_back(this->upstream->id);
     }
@@ -273,15 +287,6 @@
     }
 }
 
-auto request_flow::on_progress_timeout() -> void
-{
-    if (this->is_finished || !this->call || !this->may_retry()) {
-        return;
-    }
-    std::exchange(this->call, nullptr)->cancel();
-    this->on_attempt_failed(http1::http1_errc::timed_out, true);
-}
-
 auto request_flow::end_attempt(dispatch::attempt_end how) -> void
 {
     if (!this->upstream) {
--- a/src/services/gateway/request_end.cpp
+++ b/src/services/gateway/request_end.cpp
@@ -26,7 +26,13 @@
 auto request_flow::give_up(std::string_view reason,
                            core::milliseconds retry_after) -> void
 {
-    if (this->caller->is_started()) {
+    if (this->is_replacing) {
+        this->shared.log.write(severity::notice, "attempt_not_replaced",
+                               {{"request", this->request.id.str()},
+                                {"reason", std::string(reason)},
+                                {"elapsed_ms", this->elapsed_ms()}});
+        this->keep_silent_attempt();
+    } else if (this->caller->is_started()) {
         this->abort_answer(reason);
     } else if (this->head && !is_success(this->verdict.status) &&
                !this->verdict.not_run) {
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -77,7 +77,8 @@
     /// Finds an upstream. Stages whose results were freed run again first.
     auto place(bool is_retry) -> void;
     auto on_placed(const dispatch::placement_outcome& outcome) -> void;
-    /// Ends the request because it cannot be sent to another upstream.
+    /// Ends the request because it cannot be sent to another upstream, unless
+    /// the last one may still answer.
     auto give_up(std::string_view reason, core::milliseconds retry_after)
         -> void;
     auto send(const serving::upstream& upstream) -> void;
@@ -88,7 +89,15 @@
     auto on_not_run() -> void;
     auto on_answer() -> void;
     auto on_attempt_failed(std::error_code error, bool sent) -> void;
+    /// Seeks another upstream and keeps the silent attempt until there is one.
     auto on_progress_timeout() -> void;
+    /// Stops seeking another upstream, because the silent one has answered or
+    /// because there is no other.
+    auto keep_silent_attempt() -> void;
+    auto cancel_silent_attempt() -> void;
+    /// The silent attempt has failed while another upstream is being sought.
+    auto drop_silent_attempt() -> void;
+    auto log_broken_attempt(std::error_code error, bool sent) -> void;
     auto end_attempt(dispatch::attempt_end how) -> void;
 
     /// Ends the request before its answer is complete.
@@ -134,6 +143,8 @@
     /// When the request of the last attempt was sent.
     core::time_point sent_at;
     std::shared_ptr<http1::pooled_call> call;
+    /// Whether another upstream is sought while the silent attempt is open.
+    bool is_replacing = false;
     std::vector<core::upstream_id> excluded;
     /// Attempts that may have run.
     int attempts = 0;
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -319,7 +319,8 @@
                               const std::shared_ptr<http1::exchange>& exchange)
     -> void
 {
-    this->after(plain_time, [this, request, exchange]() {
+    const auto is_late = this->mode == upstream_mode::answers_late;
+    this->after(is_late ? silence : plain_time, [this, request, exchange]() {
         const auto body = expected_body(request, false);
         if (this->mode == upstream_mode::aborts_answers) {
             exchange->start(200, this->answer_head(request), body.size());
@@ -337,7 +338,7 @@
 {
     const auto is_pause = this->mode == upstream_mode::pauses_streams &&
                           first == stream_events / 2;
-    const auto delay = is_pause ? stream_pause : event_gap;
+    const auto delay = is_pause ? silence : event_gap;
     this->after(delay, [this, request, first, exchange]() {
         if (exchange->is_finished()) {
             return;
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -21,6 +21,7 @@
     rejects_frees,  ///< Rejects only calls that free results.
     endless,        ///< Sends an answer without end.
     pauses_streams, ///< Sends nothing for a while in the middle of a stream.
+    answers_late,   ///< Sends answers other than streams after a while.
 };
 
 /// A request that has reached an upstream or was started by it.
@@ -56,8 +57,8 @@
     std::uint64_t last_handle = 0;
 };
 
-/// How long a stream of an upstream that pauses them is silent.
-constexpr auto stream_pause = core::milliseconds(1800);
+/// How long an upstream that pauses streams or answers late is silent.
+constexpr auto silence = core::milliseconds(1800);
 
 /// Number of events of a complete stream.
 constexpr auto stream_events = 6;
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -179,6 +179,18 @@
         return most;
     }
 
+    /// Waits until every node can use \a count upstreams of a service.
+    auto wait_for_upstreams(const std::string& service, std::size_t count)
+        -> void
+    {
+        const auto series = "almondtiller_gateway_usable_upstreams{service=\"" +
+                            service + "\"}";
+        const auto wanted = double(count * this->nodes.size());
+        ASSERT_TRUE(this->world.run_until([this, &series, wanted]() {
+            return this->metric(series) == wanted;
+        }));
+    }
+
     auto set_model_mode(upstream_mode mode) -> void
     {
         for (const auto& [id, upstream] : this->world.upstreams) {
@@ -372,6 +384,28 @@
     EXPECT_EQ(this->world.journal.runs.size(), 1U);
 }
 
+TEST_F(whole_path_test, a_late_answer_is_kept_while_no_upstream_can_repeat_it)
+{
+    this->world.upstreams["desk-a"]->set_mode(upstream_mode::answers_late);
+    this->world.register_upstream(*this->world.upstreams["desk-b"], "draining");
+    this->wait_for_upstreams("desk", 1);
+    const auto& record =
+        this->caller.call(this->nodes[0]->settings.front, "read");
+    const auto placed =
+        std::string("almondtiller_gateway_requests_placed{service=\"desk\"}");
+    const auto searched = this->world.clock.now() + core::milliseconds(1000);
+    ASSERT_TRUE(this->world.run_until(
+        [&]() { return this->world.clock.now() > searched; }));
+    // The owner has a record of the request again after it found no other
+    // upstream.
+    EXPECT_EQ(this->metric(placed), 1);
+    ASSERT_TRUE(this->caller.wait(record));
+    EXPECT_EQ(record.status, 200);
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+    EXPECT_TRUE(this->world.run_until(
+        [this, &placed]() { return this->metric(placed) == 0; }));
+}
+
 TEST_F(whole_path_test, retries_rejected_requests_at_another_upstream)
 {
     this->world.upstreams["desk-a"]->set_mode(upstream_mode::rejects_all);
