--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -63,6 +63,9 @@
     auto on_stage_outcome(std::size_t stage,
                           const dispatch::stage_outcome& outcome) -> void;
     auto restart_stages() -> void;
+    /// Cancels stage work under way and frees the results of the stages, which
+    /// run again if another upstream has to be found.
+    auto reset_stages() -> void;
     auto release(const std::vector<released_results>& results) -> void;
 
     /// \return The earliest end of a hold-off if every usable upstream of the
@@ -71,8 +74,13 @@
     [[nodiscard]] auto earliest_hold_off_end(
         const std::map<core::upstream_id, core::time_point>& hold_offs) const
         -> std::optional<core::time_point>;
+    /// Finds an upstream. Stages whose results were freed run again first.
     auto place(bool is_retry) -> void;
     auto on_placed(const dispatch::placement_outcome& outcome) -> void;
+    /// Ends the request because it cannot be sent to another upstream, unless
+    /// the last one may still answer.
+    auto give_up(std::string_view reason, core::milliseconds retry_after)
+        -> void;
     auto send(const serving::upstream& upstream) -> void;
     auto on_head(http1::response_head head) -> void;
     auto on_body(std::string_view bytes) -> void;
@@ -81,7 +89,15 @@
     auto on_not_run() -> void;
     auto on_answer() -> void;
     auto on_attempt_failed(std::error_code error, bool sent) -> void;
+    /// Seeks another upstream and keeps the silent attempt until there is one.
     auto on_progress_timeout() -> void;
+    /// Stops seeking another upstream, because the silent one has answered or
+    /// because there is no other.
+    auto keep_silent_attempt() -> void;
+    auto cancel_silent_attempt() -> void;
+    /// The silent attempt has failed while another upstream is being sought.
+    auto drop_silent_attempt() -> void;
+    auto log_broken_attempt(std::error_code error, bool sent) -> void;
     auto end_attempt(dispatch::attempt_end how) -> void;
 
     /// Ends the request before its answer is complete.
@@ -118,6 +134,8 @@
     /// Number of the pending placement, 0 if there is none.
     std::uint64_t placement_number = 0;
     int stage_restarts = 0;
+    /// Incremented when results are freed; outcomes of earlier runs are unused.
+    int stage_run = 0;
 
     std::optional<serving::upstream> upstream;
     /// Upstream of the last attempt; kept after the attempt ends.
@@ -125,6 +143,8 @@
     /// When the request of the last attempt was sent.
     core::time_point sent_at;
     std::shared_ptr<http1::pooled_call> call;
+    /// Whether another upstream is sought while the silent attempt is open.
+    bool is_replacing = false;
     std::vector<core::upstream_id> excluded;
     /// Attempts that may have run.
     int attempts = 0;
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -179,6 +179,44 @@
         return most;
     }
 
+    /// Waits until every node can use \a count upstreams of a service.
+    auto wait_for_upstreams(const std::string& service, std::size_t count)
+        -> void
+    {
+        const auto series = "almondtiller_gateway_usable_upstreams{service=\"" +
+                            service + "\"}";
+        const auto wanted = double(count * this->nodes.size());
+        ASSERT_TRUE(this->world.run_until([this, &series, wanted]() {
+            return this->metric(series) == wanted;
+        }));
+    }
+
+    auto set_model_mode(upstream_mode mode) -> void
+    {
+        for (const auto& [id, upstream] : this->world.upstreams) {
+            if (upstream->service() == "model") {
+                upstream->set_mode(mode);
+            }
+        }
+    }
+
+    /// Sends a resumable request with stages.
+    /// \param mode The mode of the upstream that receives it first; all others
+    ///        work.
+    auto call_with_first_upstream(upstream_mode mode) -> const call_record&
+    {
+        this->set_model_mode(mode);
+        const auto& record = this->caller.call(this->nodes[0]->settings.front,
+                                               "staged_resumable");
+        EXPECT_TRUE(this->world.run_until(
+            [this]() { return !this->world.journal.runs.empty(); }));
+        const auto first = this->world.journal.runs.front().upstream;
+        this->set_model_mode(upstream_mode::works);
+        this->world.upstreams.at(first)->set_mode(mode);
+        EXPECT_TRUE(this->caller.wait(record));
+        return record;
+    }
+
     auto expect_no_faults() -> void
     {
         EXPECT_EQ(this->caller.violations(), std::vector<std::string>());
@@ -302,6 +340,72 @@
     this->expect_no_faults();
 }
 
+// The results of a request's stages are freed at the first event, but another
+// upstream needs them to resume the stream.
+TEST_F(whole_path_test, a_staged_stream_continues_at_another_upstream)
+{
+    const auto& record =
+        this->call_with_first_upstream(upstream_mode::aborts_answers);
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(record.is_complete);
+    EXPECT_EQ(this->world.journal.runs.size(), 2U);
+    this->expect_no_faults();
+}
+
+// The same for a sound upstream that is silent for a moment.
+TEST_F(whole_path_test, a_silent_staged_stream_reaches_its_end)
+{
+    const auto& record =
+        this->call_with_first_upstream(upstream_mode::pauses_streams);
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(record.is_complete);
+    this->expect_no_faults();
+}
+
+// A sound upstream may be silent for a moment. While no other upstream can
+// continue its stream, the node must not break the stream off.
+TEST_F(whole_path_test, a_silent_stream_is_kept_while_no_upstream_can_resume_it)
+{
+    this->set_model_mode(upstream_mode::pauses_streams);
+    const auto& record =
+        this->caller.call(this->nodes[0]->settings.front, "resumable");
+    ASSERT_TRUE(this->world.run_until(
+        [this]() { return this->world.journal.runs.size() == 1; }));
+    for (const auto& [id, upstream] : this->world.upstreams) {
+        if (upstream->service() == "model" &&
+            id != this->world.journal.runs.front().upstream) {
+            this->world.register_upstream(*upstream, "draining");
+        }
+    }
+    ASSERT_TRUE(this->caller.wait(record));
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(record.is_complete);
+    EXPECT_EQ(record.body, gateway_world::expected_body(record.id, true));
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+}
+
+TEST_F(whole_path_test, a_late_answer_is_kept_while_no_upstream_can_repeat_it)
+{
+    this->world.upstreams["desk-a"]->set_mode(upstream_mode::answers_late);
+    this->world.register_upstream(*this->world.upstreams["desk-b"], "draining");
+    this->wait_for_upstreams("desk", 1);
+    const auto& record =
+        this->caller.call(this->nodes[0]->settings.front, "read");
+    const auto placed =
+        std::string("almondtiller_gateway_requests_placed{service=\"desk\"}");
+    const auto searched = this->world.clock.now() + core::milliseconds(1000);
+    ASSERT_TRUE(this->world.run_until(
+        [&]() { return this->world.clock.now() > searched; }));
+    // The owner has a record of the request again after it found no other
+    // upstream.
+    EXPECT_EQ(this->metric(placed), 1);
+    ASSERT_TRUE(this->caller.wait(record));
+    EXPECT_EQ(record.status, 200);
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+    EXPECT_TRUE(this->world.run_until(
+        [this, &placed]() { return this->metric(placed) == 0; }));
+}
+
 TEST_F(whole_path_test, retries_rejected_requests_at_another_upstream)
 {
     this->world.upstreams["desk-a"]->set_mode(upstream_mode::rejects_all);
