Apply the caller limits in force to idle connections

Callers reuse a connection that has been idle for up to four fifths of the idle timeout in force. After a configuration with a longer timeout, their requests crossed the close of connections that were already idle; after one with larger limits, the first request on such a connection was rejected with 431 or 413.

Cause: server_connection read the idle timeout and the limits of the parser when a connection became idle, so that both were as old as its last response. The timeout of a request that is being read had the same fault.

When its timer fires, a connection now compares the time that it has waited with the timeout in force, and starts the timer again for what is left. A shorter timeout still closes no connection before the time that was armed. The limits are applied when a request begins; request_parser keeps them until that request is complete.

--- a/src/libs/http1/server_connection.cpp
+++ b/src/libs/http1/server_connection.cpp
@@ -164,12 +164,11 @@
       stream(std::move(accepted)),
       options(std::move(shared)),
       timeout(loop, [this]() { this->on_timeout(); }),
-      idle_since(loop.now())
+      waiting_since(loop.now())
 {}
 
 auto server_connection::start() -> void
 {
-    this->parser.set_limits(this->options->limits());
     this->restart_timer();
     const auto weak = this->weak_from_this();
     this->stream->start(
@@ -188,20 +187,32 @@
 auto server_connection::restart_timer() -> void
 {
     this->is_reading_request = this->parser.is_within_request();
-    this->timeout.start(this->is_reading_request
-                            ? this->options->header_timeout()
-                            : this->options->idle_timeout());
+    this->waiting_since = this->event_loop.now();
+    this->timeout.start(this->timeout_in_force());
+}
+
+auto server_connection::timeout_in_force() const -> core::milliseconds
+{
+    return this->is_reading_request ? this->options->header_timeout()
+                                    : this->options->idle_timeout();
 }
 
 auto server_connection::on_timeout() -> void
 {
+    const auto waited = this->event_loop.now() - this->waiting_since;
+    const auto left = std::chrono::duration_cast<core::milliseconds>(
+        this->timeout_in_force() - waited);
+    if (left.count() > 0) {
+        // A longer timeout has come into force since the timer was started.
+        this->timeout.start(left);
+        return;
+    }
     if (this->is_reading_request) {
         this->reject(http1_errc::timed_out);
         return;
     }
     if (this->options->on_idle_timeout) {
-        this->options->on_idle_timeout(this->event_loop.now() -
-                                       this->idle_since);
+        this->options->on_idle_timeout(waited);
     }
     this->close();
 }
@@ -222,6 +233,7 @@
 {
     const auto self = this->shared_from_this();
     auto error = std::error_code();
+    this->parser.set_limits(this->options->limits());
     auto request = this->parser.next(error);
     if (error) {
         this->reject(error);
@@ -268,8 +280,6 @@
         }
         return;
     }
-    this->idle_since = this->event_loop.now();
-    this->parser.set_limits(this->options->limits());
     this->stream->resume_reading();
     this->restart_timer();
     if (this->parser.buffered_bytes() > 0) {
--- a/src/libs/http1/server_connection.h
+++ b/src/libs/http1/server_connection.h
@@ -61,7 +61,7 @@
 struct server_options
 {
     std::function<void(request_message, std::shared_ptr<exchange>)> on_request;
-    /// Called before each request is read; returns the current limits.
+    /// Returns the limits in force, which apply to a request that begins now.
     std::function<parser_limits()> limits;
     std::function<core::milliseconds()> header_timeout;
     std::function<core::milliseconds()> idle_timeout;
@@ -101,6 +101,7 @@
     auto reject(std::error_code error) -> void;
     auto on_exchange_finished(bool keep_alive) -> void;
     auto restart_timer() -> void;
+    [[nodiscard]] auto timeout_in_force() const -> core::milliseconds;
     auto on_timeout() -> void;
 
     event::loop& event_loop;
@@ -109,8 +110,9 @@
     request_parser parser;
     std::shared_ptr<exchange> current;
     event::timer timeout;
-    /// When the last response ended or the connection was accepted.
-    core::time_point idle_since;
+    /// When the last response ended, the connection was accepted, or the
+    /// request that is being read began.
+    core::time_point waiting_since;
     bool keep_alive = true;
     bool is_closed = false;
     bool is_reading_request = false;
--- a/tests/unit/http1/connection_test.cpp
+++ b/tests/unit/http1/connection_test.cpp
@@ -19,14 +19,17 @@
             this->requests.push_back(std::move(request));
             this->answer(exchange);
         };
-        shared_options->limits = []() {
-            return parser_limits();
+        shared_options->limits = [this]() {
+            return this->limits;
         };
-        shared_options->header_timeout = []() {
-            return core::milliseconds(200);
+        shared_options->header_timeout = [this]() {
+            return this->header_timeout;
         };
-        shared_options->idle_timeout = []() {
-            return core::milliseconds(5000);
+        shared_options->idle_timeout = [this]() {
+            return this->idle_timeout;
+        };
+        shared_options->on_idle_timeout = [this](auto idle_for) {
+            this->closed_after = idle_for;
         };
         shared_options->is_draining = [this]() {
             return this->is_draining;
@@ -47,7 +50,8 @@
         ASSERT_TRUE(ready());
     }
 
-    auto call() -> void
+    auto call(std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        -> void
     {
         this->outcome.reset();
         this->body.clear();
@@ -63,15 +67,32 @@
         };
         this->active = this->pool.call(
             {"server", {"127.0.0.1", std::uint16_t(this->listener.port())}},
-            "GET /x HTTP/1.1\r\nHost: a\r\n\r\n", {}, std::move(hooks));
+            std::move(request), {}, std::move(hooks));
     }
 
-    auto call_and_wait() -> void
+    auto
+    call_and_wait(std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        -> void
     {
-        this->call();
+        this->call(std::move(request));
         this->run_until([this]() { return this->outcome.has_value(); });
     }
 
+    /// Sends bytes on a connection of their own.
+    auto write_raw(std::string bytes) -> void
+    {
+        event::tcp_stream::connect(
+            this->event_loop,
+            {"127.0.0.1", std::uint16_t(this->listener.port())},
+            core::milliseconds(1000), [this, bytes](auto stream, auto) {
+                this->raw_stream = std::move(stream);
+                this->raw_stream->start(
+                    [this](auto received) { this->raw_answer += received; },
+                    [](auto) {});
+                this->raw_stream->write(bytes);
+            });
+    }
+
     core::runtime_clock clock;
     event::loop event_loop{clock};
     std::shared_ptr<const server_options> options;
@@ -81,6 +102,11 @@
         exchange->respond(200, {}, "answer");
     };
     bool is_draining = false;
+    parser_limits limits;
+    core::milliseconds header_timeout{200};
+    core::milliseconds idle_timeout{5000};
+    /// How long the last connection that was closed as idle had been idle.
+    std::optional<core::duration> closed_after;
     event::tcp_listener listener{
         event_loop, [this](auto stream) {
             this->connections.push_back(std::make_shared<server_connection>(
@@ -90,6 +116,7 @@
     client_pool pool{event_loop};
     std::shared_ptr<pooled_call> active;
     std::shared_ptr<event::tcp_stream> raw_stream;
+    std::string raw_answer;
     std::optional<std::error_code> outcome;
     std::optional<response_head> head;
     std::string body;
@@ -142,21 +169,67 @@
 
 TEST_F(connection_test, rejects_an_incomplete_request_after_the_timeout)
 {
-    auto received = std::string();
-    auto connection = std::shared_ptr<event::tcp_stream>();
-    event::tcp_stream::connect(
-        this->event_loop, {"127.0.0.1", std::uint16_t(this->listener.port())},
-        core::milliseconds(1000), [&](auto stream, auto) {
-            connection = std::move(stream);
-            connection->start([&](auto bytes) { received += bytes; },
-                              [](auto) {});
-            connection->write("GET /x HT");
-        });
-    this->run_until([&received]() { return !received.empty(); });
-    EXPECT_TRUE(received.starts_with("HTTP/1.1 408"));
+    this->write_raw("GET /x HT");
+    this->run_until([this]() { return !this->raw_answer.empty(); });
+    EXPECT_TRUE(this->raw_answer.starts_with("HTTP/1.1 408"));
     EXPECT_TRUE(this->requests.empty());
 }
 
+// Callers reuse connections that have been idle for less than the timeout in
+// force, which may have become longer since their last request.
+TEST_F(connection_test, an_idle_connection_stays_open_for_a_longer_timeout)
+{
+    this->idle_timeout = core::milliseconds(50);
+    this->call_and_wait();
+    this->idle_timeout = core::milliseconds(200);
+    this->run_until([this]() { return this->connections.empty(); });
+    ASSERT_TRUE(this->closed_after);
+    EXPECT_GT(*this->closed_after, core::milliseconds(190));
+}
+
+TEST_F(connection_test, a_shorter_timeout_closes_no_idle_connection_sooner)
+{
+    this->idle_timeout = core::milliseconds(200);
+    this->call_and_wait();
+    this->idle_timeout = core::milliseconds(50);
+    this->run_until([this]() { return this->connections.empty(); });
+    ASSERT_TRUE(this->closed_after);
+    EXPECT_GT(*this->closed_after, core::milliseconds(190));
+}
+
+// The same for a request that is being read when its timeout becomes longer.
+TEST_F(connection_test, an_incomplete_request_has_the_longer_timeout)
+{
+    this->write_raw("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
+                    "Expect: 100-continue\r\n\r\n");
+    this->run_until([this]() { return !this->raw_answer.empty(); });
+    ASSERT_TRUE(this->raw_answer.starts_with("HTTP/1.1 100"));
+    this->raw_answer.clear();
+    const auto begin = this->clock.now();
+    this->header_timeout = core::milliseconds(400);
+    this->run_until([this]() { return !this->raw_answer.empty(); });
+    EXPECT_TRUE(this->raw_answer.starts_with("HTTP/1.1 408"));
+    EXPECT_GT(this->clock.now() - begin, core::milliseconds(350));
+}
+
+// A request on a connection that was idle when larger limits came into force
+// was rejected by the old ones.
+TEST_F(connection_test, a_request_is_read_within_the_limits_in_force)
+{
+    this->limits = {64, 8};
+    this->call_and_wait();
+    this->limits = parser_limits();
+    this->call_and_wait("POST /" + std::string(100, 'x') +
+                        " HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+                        "123456789");
+    EXPECT_EQ(this->head->status, 200);
+    EXPECT_EQ(this->pool.opened(), 1U);
+    this->limits = {64, 8};
+    this->call_and_wait("POST / HTTP/1.1\r\nHost: a\r\n"
+                        "Content-Length: 9\r\n\r\n123456789");
+    EXPECT_EQ(this->head->status, 413);
+}
+
 // A late second response must not be matched to the next request.
 TEST_F(connection_test, drops_connections_with_bytes_that_belong_to_no_call)
 {
