Treat a stream that ends within an event as broken off

Callers of a streaming route got the first part of an event followed by the end of a complete answer when the upstream had stopped in the middle of that event and ended the answer properly, or had ended its connection without a reset. Such a stream has been broken off, whichever way its end is marked.

Cause: request_flow::on_answer sent the incomplete event to the caller and finished the answer; only a connection that failed or an answer whose framing was incomplete counted as a failed attempt.

Such an end is now a failed attempt (truncated_message): a resumable stream continues at another upstream after its last complete event, any other is broken off, and no part of the event reaches the caller.

The fake upstreams of the whole-path tests have a server of their own (raw_server), which can send answers with neither a length nor chunks and end them with a reset; http1::exchange always marks the end of an answer. A caller of these tests now also reports answers that were cut but aren't the first part of the right answer, or have a part of an event.

The same cause elsewhere: callers always get chunks or a length; pages and changes of the store and results of stages are JSON documents, which do not parse if their end is missing.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -212,6 +212,10 @@
 
 auto request_flow::on_answer() -> void
 {
+    if (this->is_stream && !this->events.incomplete_event().empty()) {
+        this->on_attempt_failed(http1::http1_errc::truncated_message, true);
+        return;
+    }
     const auto status = this->verdict.status;
     constexpr auto first_server_error = 500;
     if (this->upstream) {
@@ -229,7 +233,6 @@
             this->caller->start(status, adapter::answer_headers(*this->head),
                                 std::nullopt);
         }
-        this->caller->send(this->events.incomplete_event());
         this->caller->finish();
     } else {
         this->caller->respond(status, adapter::answer_headers(*this->head),
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -84,6 +84,11 @@
     this->mode = wanted;
 }
 
+auto fake_upstream::set_framing(answer_framing wanted) -> void
+{
+    this->framing = wanted;
+}
+
 auto fake_upstream::set_leaving(bool leaves) -> void
 {
     this->is_leaving = leaves;
@@ -145,7 +150,7 @@
 }
 
 auto fake_upstream::on_request(const http1::request_message& request,
-                               const std::shared_ptr<http1::exchange>& exchange)
+                               const std::shared_ptr<raw_exchange>& exchange)
     -> void
 {
     const auto expected =
@@ -170,7 +175,7 @@
         return;
     }
     if (this->mode == upstream_mode::endless) {
-        exchange->start(200, this->answer_head(id), std::nullopt);
+        exchange->start(200, this->answer_head(id), answer_framing::chunks);
         this->send_endless(exchange);
         return;
     }
@@ -209,8 +214,8 @@
     }
 }
 
-auto fake_upstream::send_endless(
-    const std::shared_ptr<http1::exchange>& exchange) -> void
+auto fake_upstream::send_endless(const std::shared_ptr<raw_exchange>& exchange)
+    -> void
 {
     if (exchange->is_finished()) {
         return;
@@ -255,7 +260,7 @@
 }
 
 auto fake_upstream::run_stage(const http1::request_message& request,
-                              const std::shared_ptr<http1::exchange>& exchange)
+                              const std::shared_ptr<raw_exchange>& exchange)
     -> void
 {
     ++this->journal.stage_calls;
@@ -291,21 +296,15 @@
     }
     const auto text = json{{"items", answers}}.dump();
     this->after(call_time, [this, exchange, text]() {
-        if (this->mode == upstream_mode::aborts_answers) {
-            exchange->start(200, {}, text.size());
-            exchange->send(text.substr(0, text.size() / 2));
-            exchange->abort();
-            return;
-        }
-        exchange->respond(
-            200, this->with_limit({{"Content-Type", "application/json"}}),
-            text);
+        this->send_answer(
+            this->with_limit({{"Content-Type", "application/json"}}), text,
+            exchange);
     });
 }
 
-auto fake_upstream::free_results(
-    const http1::request_message& request,
-    const std::shared_ptr<http1::exchange>& exchange) -> void
+auto fake_upstream::free_results(const http1::request_message& request,
+                                 const std::shared_ptr<raw_exchange>& exchange)
+    -> void
 {
     const auto body = json::parse(request.body);
     for (const auto& handle : body["handles"]) {
@@ -316,48 +315,94 @@
 }
 
 auto fake_upstream::run_plain(const std::string& request,
-                              const std::shared_ptr<http1::exchange>& exchange)
+                              const std::shared_ptr<raw_exchange>& exchange)
     -> void
 {
     this->after(plain_time, [this, request, exchange]() {
-        const auto body = expected_body(request, false);
-        if (this->mode == upstream_mode::aborts_answers) {
-            exchange->start(200, this->answer_head(request), body.size());
-            exchange->send(body.substr(0, body.size() / 2));
-            exchange->abort();
-            return;
-        }
-        exchange->respond(200, this->answer_head(request), body);
+        this->send_answer(this->answer_head(request),
+                          expected_body(request, false), exchange);
     });
 }
 
-auto fake_upstream::run_stream(const std::string& request, int first,
-                               const std::shared_ptr<http1::exchange>& exchange)
+auto fake_upstream::send_answer(const http1::header_list& headers,
+                                const std::string& body,
+                                const std::shared_ptr<raw_exchange>& exchange)
     -> void
+{
+    exchange->start(200, headers,
+                    this->framing.value_or(answer_framing::length),
+                    body.size());
+    if (this->mode == upstream_mode::aborts_answers) {
+        exchange->send(body.substr(0, body.size() / 2));
+        exchange->abort();
+        return;
+    }
+    exchange->send(body);
+    exchange->finish();
+}
+
+auto fake_upstream::delay_before(int event) const -> core::milliseconds
 {
     const auto is_pause = this->mode == upstream_mode::pauses_streams &&
-                          first == stream_events / 2;
-    const auto delay = is_pause ? stream_pause : event_gap;
-    this->after(delay, [this, request, first, exchange]() {
-        if (exchange->is_finished()) {
-            return;
+                          event == stream_events / 2;
+    return is_pause ? stream_pause : event_gap;
+}
+
+auto fake_upstream::run_stream(const std::string& request, int first,
+                               const std::shared_ptr<raw_exchange>& exchange)
+    -> void
+{
+    this->after(this->delay_before(first), [this, request, first, exchange]() {
+        auto events = std::string();
+        for (auto number = first; number <= stream_events; ++number) {
+            events += event_text(request, number);
         }
-        if (!exchange->is_started()) {
-            exchange->start(200, this->answer_head(request), std::nullopt);
+        const auto has_end = this->mode != upstream_mode::ends_within_event;
+        if (!has_end && !events.empty()) {
+            events.resize(events.size() -
+                          event_text(request, stream_events).size() / 2);
         }
-        const auto text = event_text(request, first);
-        if (this->mode == upstream_mode::aborts_answers && first > 2) {
-            exchange->send(text.substr(0, text.size() / 2));
-            exchange->abort();
-            return;
+        if (this->mode == upstream_mode::sends_no_event) {
+            events.clear();
         }
-        exchange->send(text);
-        if (first >= stream_events) {
+        exchange->start(200, this->answer_head(request),
+                        this->framing.value_or(answer_framing::chunks),
+                        events.size());
+        if (!has_end || events.empty()) {
+            exchange->send(events);
             exchange->finish();
             return;
         }
-        this->run_stream(request, first + 1, exchange);
+        this->send_event(request, first, exchange);
     });
 }
 
+auto fake_upstream::send_event(const std::string& request, int number,
+                               const std::shared_ptr<raw_exchange>& exchange)
+    -> void
+{
+    if (exchange->is_finished()) {
+        return;
+    }
+    if (this->mode == upstream_mode::aborts_between_events && number > 2) {
+        exchange->abort();
+        return;
+    }
+    const auto text = event_text(request, number);
+    if (this->mode == upstream_mode::aborts_answers && number > 2) {
+        exchange->send(text.substr(0, text.size() / 2));
+        exchange->abort();
+        return;
+    }
+    exchange->send(text);
+    if (number == stream_events) {
+        exchange->finish();
+        return;
+    }
+    this->after(this->delay_before(number + 1),
+                [this, request, number, exchange]() {
+                    this->send_event(request, number + 1, exchange);
+                });
+}
+
 } // namespace almondtiller::gateway_world
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "gateway_world/http_server.h"
+#include "gateway_world/raw_server.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,9 @@
     rejects_frees,  ///< Rejects only calls that free results.
     endless,        ///< Sends an answer without end.
     pauses_streams, ///< Sends nothing for a while in the middle of a stream.
+    aborts_between_events, ///< Aborts streams after a complete event.
+    ends_within_event,     ///< Ends streams properly inside the last event.
+    sends_no_event,        ///< Ends streams properly before the first event.
 };
 
 /// A request that has reached an upstream or was started by it.
@@ -82,6 +86,10 @@
 
     auto set_mode(upstream_mode mode) -> void;
 
+    /// Sets how the end of every answer of a request or stage is marked; unless
+    /// set, streams have chunks and other answers a length.
+    auto set_framing(answer_framing framing) -> void;
+
     /// Makes every answer announce that the upstream is leaving.
     auto set_leaving(bool leaves) -> void;
 
@@ -100,17 +108,23 @@
 
 private:
     auto on_request(const http1::request_message& request,
-                    const std::shared_ptr<http1::exchange>& exchange) -> void;
+                    const std::shared_ptr<raw_exchange>& exchange) -> void;
     /// Sends about 60 MB a second until the caller closes the connection.
-    auto send_endless(const std::shared_ptr<http1::exchange>& exchange) -> void;
+    auto send_endless(const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto run_stage(const http1::request_message& request,
-                   const std::shared_ptr<http1::exchange>& exchange) -> void;
+                   const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto free_results(const http1::request_message& request,
-                      const std::shared_ptr<http1::exchange>& exchange) -> void;
+                      const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto run_plain(const std::string& request,
-                   const std::shared_ptr<http1::exchange>& exchange) -> void;
+                   const std::shared_ptr<raw_exchange>& exchange) -> void;
+    auto send_answer(const http1::header_list& headers, const std::string& body,
+                     const std::shared_ptr<raw_exchange>& exchange) -> void;
+    /// \return The time between an event and the one before it.
+    [[nodiscard]] auto delay_before(int event) const -> core::milliseconds;
     auto run_stream(const std::string& request, int first,
-                    const std::shared_ptr<http1::exchange>& exchange) -> void;
+                    const std::shared_ptr<raw_exchange>& exchange) -> void;
+    auto send_event(const std::string& request, int number,
+                    const std::shared_ptr<raw_exchange>& exchange) -> void;
     /// \return \a headers with the request limit, if there is one.
     [[nodiscard]] auto with_limit(http1::header_list headers) const
         -> http1::header_list;
@@ -126,14 +140,15 @@
     std::string own_zone;
     upstream_journal& journal;
     std::string advertised;
-    std::vector<std::shared_ptr<http1::exchange>> held;
+    std::vector<std::shared_ptr<raw_exchange>> held;
     std::set<std::shared_ptr<event::timer>> timers;
     upstream_mode mode = upstream_mode::works;
+    std::optional<answer_framing> framing;
     bool is_leaving = false;
     std::string hold_off;
     std::string request_limit;
     /// Last member, so that it is destroyed first: its requests use the others.
-    http_server server;
+    raw_server server;
 };
 
 } // namespace almondtiller::gateway_world
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -19,6 +19,17 @@
     return path != "read" && path != "book";
 }
 
+/// \return Whether the body is the first part of the right answer, and only
+///         complete events of a stream.
+auto is_begin_of_answer(const call_record& record) -> bool
+{
+    const auto expected = expected_body(record.id, is_stream(record.path));
+    const auto ends_within_event = is_stream(record.path) &&
+                                   !record.body.empty() &&
+                                   !record.body.ends_with("\n\n");
+    return expected.starts_with(record.body) && !ends_within_event;
+}
+
 auto request_text(const call_record& record, const std::string& key,
                   const std::string& session, std::uint64_t shared_tokens)
     -> std::string
@@ -127,6 +138,11 @@
             found.push_back(record->id + " (" + record->path +
                             ") got a wrong answer: " + record->body);
         }
+        if (record->status == 200 && !record->is_complete &&
+            !is_begin_of_answer(*record)) {
+            found.push_back(record->id + " (" + record->path +
+                            ") got a wrong part of an answer: " + record->body);
+        }
     }
     return found;
 }
--- a/tests/fakes/gateway_world/world_caller.h
+++ b/tests/fakes/gateway_world/world_caller.h
@@ -50,7 +50,9 @@
     auto wait(const call_record& record) -> bool;
 
     /// \return A text for each violation: requests that ran twice but must not
-    ///         be repeated, rejected requests that ran, and wrong answers.
+    ///         be repeated, rejected requests that ran, wrong answers, and
+    ///         incomplete answers that are no part of the right one or have a
+    ///         part of an event.
     [[nodiscard]] auto violations() const -> std::vector<std::string>;
 
     [[nodiscard]] auto records() const
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -13,6 +13,7 @@
 namespace almondtiller::gateway {
 namespace {
 
+using gateway_world::answer_framing;
 using gateway_world::call_record;
 using gateway_world::store_mode;
 using gateway_world::upstream_mode;
@@ -188,14 +189,16 @@
         }
     }
 
-    /// Sends a resumable request with stages.
+    /// Sends a resumable request.
     /// \param mode The mode of the upstream that receives it first; all others
     ///        work.
-    auto call_with_first_upstream(upstream_mode mode) -> const call_record&
+    auto call_with_first_upstream(upstream_mode mode,
+                                  const std::string& path = "staged_resumable")
+        -> const call_record&
     {
         this->set_model_mode(mode);
-        const auto& record = this->caller.call(this->nodes[0]->settings.front,
-                                               "staged_resumable");
+        const auto& record =
+            this->caller.call(this->nodes[0]->settings.front, path);
         EXPECT_TRUE(this->world.run_until(
             [this]() { return !this->world.journal.runs.empty(); }));
         const auto first = this->world.journal.runs.front().upstream;
@@ -743,6 +746,96 @@
     })) << "the other nodes see the fourth as alive";
 }
 
+/// Tests of the end of answers. The parameter is how it is marked.
+class answer_end_test : public whole_path_test,
+                        public testing::WithParamInterface<answer_framing>
+{
+protected:
+    answer_end_test()
+    {
+        for (const auto& [id, upstream] : this->world.upstreams) {
+            upstream->set_framing(GetParam());
+        }
+    }
+};
+
+TEST_P(answer_end_test, an_answer_with_a_proper_end_is_complete)
+{
+    for (const auto* path : {"stream", "resumable", "staged", "read", "book"}) {
+        const auto& record = this->send_request(path);
+        EXPECT_EQ(record.status, 200);
+        EXPECT_TRUE(record.is_complete);
+    }
+    EXPECT_EQ(this->world.journal.runs.size(), 5U);
+    this->expect_no_faults();
+}
+
+TEST_P(answer_end_test, a_plain_answer_that_is_cut_has_failed)
+{
+    for (const auto* name : {"desk-a", "desk-b"}) {
+        this->world.upstreams[name]->set_mode(upstream_mode::aborts_answers);
+    }
+    EXPECT_EQ(this->send_request("book").status, 502);
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+    this->expect_no_faults();
+}
+
+TEST_P(answer_end_test, a_stage_answer_that_is_cut_has_failed)
+{
+    for (const auto* name : {"feed-a", "feed-b"}) {
+        this->world.upstreams[name]->set_mode(upstream_mode::aborts_answers);
+    }
+    EXPECT_EQ(this->send_request("staged").status, 503);
+    EXPECT_TRUE(this->world.journal.runs.empty());
+    this->expect_no_faults();
+}
+
+// The caller got the first part of the event and a proper end.
+TEST_P(answer_end_test, a_stream_that_ends_within_an_event_is_broken_off)
+{
+    this->set_model_mode(upstream_mode::ends_within_event);
+    const auto& record = this->send_request("stream");
+    EXPECT_EQ(record.status, 200);
+    EXPECT_FALSE(record.is_complete);
+    EXPECT_FALSE(record.body.empty());
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+    this->expect_no_faults();
+}
+
+TEST_P(answer_end_test, a_stream_that_ends_within_an_event_is_resumed)
+{
+    const auto& record = this->call_with_first_upstream(
+        upstream_mode::ends_within_event, "resumable");
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(record.is_complete);
+    EXPECT_EQ(this->world.journal.runs.size(), 2U);
+    this->expect_no_faults();
+}
+
+TEST_P(answer_end_test, a_stream_that_is_reset_after_an_event_is_broken_off)
+{
+    this->set_model_mode(upstream_mode::aborts_between_events);
+    const auto& record = this->send_request("stream");
+    EXPECT_EQ(record.status, 200);
+    EXPECT_FALSE(record.is_complete);
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+    this->expect_no_faults();
+}
+
+TEST_P(answer_end_test, a_stream_without_events_is_complete)
+{
+    this->set_model_mode(upstream_mode::sends_no_event);
+    const auto& record = this->send_request("stream");
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(record.is_complete);
+    EXPECT_EQ(record.body, "");
+}
+
+INSTANTIATE_TEST_SUITE_P(framings, answer_end_test,
+                         testing::Values(answer_framing::chunks,
+                                         answer_framing::length,
+                                         answer_framing::connection));
+
 /// Tests in which the owner of the model service may be lost. The parameter is
 /// the index of the only node that remains.
 class owner_change_test : public whole_path_test,
