Break off a stream that no upstream resumes

A caller whose stream had begun waited for its end until it gave up: the connection was neither completed nor closed.

Cause: the stream's upstream had broken off and the upstream that was to resume it answered with a failure status, with no attempt left. request_flow::on_answer passed this answer to exchange::respond(), which ignores it because the stream has begun, and counted the request as answered.

The answer is aborted now, and the line `broken_off` with reason `upstream_error` has the status of the upstream.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -234,6 +234,12 @@
                                 std::nullopt);
         }
         this->caller->finish();
+    } else if (this->caller->is_started()) {
+        // The stream has begun, so that its caller can't get the error answer
+        // of the upstream that was to resume it.
+        this->caller->abort();
+        this->finish("broken_off", severity::failure, "upstream_error", status);
+        return;
     } else {
         this->caller->respond(status, adapter::answer_headers(*this->head),
                               this->body);
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -207,6 +207,11 @@
     }
     if (is_stream) {
         const auto last = std::string(request.headers.find("Last-Event-Id"));
+        if (this->mode == upstream_mode::fails_resumed_streams &&
+            !last.empty()) {
+            exchange->respond(500, this->answer_head(id), "");
+            return;
+        }
         const auto first = last.empty() ? 1 : std::stoi(last) + 1;
         this->run_stream(id, first, exchange);
     } else {
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -25,6 +25,7 @@
     aborts_between_events, ///< Aborts streams after a complete event.
     ends_within_event,     ///< Ends streams properly inside the last event.
     sends_no_event,        ///< Ends streams properly before the first event.
+    fails_resumed_streams, ///< Answers 500 to requests that resume a stream.
 };
 
 /// A request that has reached an upstream or was started by it.
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -375,6 +375,25 @@
     EXPECT_EQ(this->world.journal.runs.size(), 1U);
 }
 
+// The answer has begun, so that the caller can't get the error of the upstream
+// that was to resume the stream. It must not wait for the rest in vain.
+TEST_F(whole_path_test, a_stream_that_no_upstream_resumes_is_broken_off)
+{
+    this->set_model_mode(upstream_mode::aborts_answers);
+    const auto& record =
+        this->caller.call(this->nodes[0]->settings.front, "resumable");
+    ASSERT_TRUE(this->world.run_until(
+        [this]() { return !this->world.journal.runs.empty(); }));
+    const auto first = this->world.journal.runs.front().upstream;
+    this->set_model_mode(upstream_mode::fails_resumed_streams);
+    this->world.upstreams.at(first)->set_mode(upstream_mode::aborts_answers);
+    EXPECT_TRUE(this->caller.wait(record)) << "the answer has no end";
+    EXPECT_EQ(record.status, 200);
+    EXPECT_FALSE(record.is_complete);
+    EXPECT_EQ(this->metric("almondtiller_gateway_requests_in_flight"), 0);
+    this->expect_no_faults();
+}
+
 TEST_F(whole_path_test, retries_rejected_requests_at_another_upstream)
 {
     this->world.upstreams["desk-a"]->set_mode(upstream_mode::rejects_all);
