Add a failing test of a prompt part that crashes upstreams

The fake upstream can crash at the begin of an answer and return, and callers can choose their prompts.

--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -14,6 +14,15 @@
 constexpr auto plain_time = core::milliseconds(3);
 constexpr auto event_gap = core::milliseconds(4);
 constexpr auto call_time = core::milliseconds(5);
+/// How long a crashed upstream accepts no connections.
+constexpr auto crash_time = core::milliseconds(2000);
+
+/// \return Whether a list of prompt parts has the part.
+auto has_part(std::string_view prompt, const std::string& part) -> bool
+{
+    return ("," + std::string(prompt)).find("," + part + ":") !=
+           std::string::npos;
+}
 
 auto event_text(const std::string& request, int number) -> std::string
 {
@@ -43,6 +52,7 @@
       own_service(std::move(service)),
       own_zone(std::move(zone)),
       journal(shared),
+      return_timer(loop, [this]() { this->server.reopen(); }),
       server(loop, [this](const auto& request, const auto& exchange) {
           this->on_request(request, exchange);
       })
@@ -99,6 +109,20 @@
     this->request_limit = std::move(per_second);
 }
 
+auto fake_upstream::set_fatal_part(std::string part) -> void
+{
+    this->fatal_part = std::move(part);
+}
+
+auto fake_upstream::crash_and_return(const run_record& cause) -> void
+{
+    this->after(event_gap, [this, cause]() {
+        this->journal.crashes.push_back(cause);
+        this->return_timer.start(crash_time);
+        this->crash();
+    });
+}
+
 auto fake_upstream::with_limit(http1::header_list headers) const
     -> http1::header_list
 {
@@ -200,6 +224,11 @@
     if (this->mode == upstream_mode::hangs) {
         return;
     }
+    const auto prompt = request.headers.find("X-Almondtiller-Prompt-Prefix");
+    if (!this->fatal_part.empty() && has_part(prompt, this->fatal_part)) {
+        this->crash_and_return(this->journal.arrivals.back());
+        return;
+    }
     if (is_stream) {
         const auto last = std::string(request.headers.find("Last-Event-Id"));
         const auto first = last.empty() ? 1 : std::stoi(last) + 1;
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -47,6 +47,8 @@
     std::vector<run_record> runs;
     /// All requests that have reached an upstream, including rejected ones.
     std::vector<run_record> arrivals;
+    /// Requests that have crashed an upstream.
+    std::vector<run_record> crashes;
     std::map<std::string, stage_output> results;
     std::uint64_t stage_calls = 0;
     /// Bytes sent in answers without end.
@@ -92,6 +94,10 @@
     /// the upstream; no limit if empty.
     auto set_request_limit(std::string per_second) -> void;
 
+    /// Makes the upstream crash when it begins to answer a request whose prompt
+    /// has this part, and return after a while; never if empty.
+    auto set_fatal_part(std::string part) -> void;
+
     /// Sets the address to register instead of its own, such as a proxy's.
     auto set_advertised(std::string address) -> void;
 
@@ -109,6 +115,8 @@
                       const std::shared_ptr<http1::exchange>& exchange) -> void;
     auto run_plain(const std::string& request,
                    const std::shared_ptr<http1::exchange>& exchange) -> void;
+    /// Crashes when the answer begins, and listens again after a while.
+    auto crash_and_return(const run_record& cause) -> void;
     auto run_stream(const std::string& request, int first,
                     const std::shared_ptr<http1::exchange>& exchange) -> void;
     /// \return \a headers with the request limit, if there is one.
@@ -132,6 +140,8 @@
     bool is_leaving = false;
     std::string hold_off;
     std::string request_limit;
+    std::string fatal_part;
+    event::timer return_timer;
     /// Last member, so that it is destroyed first: its requests use the others.
     http_server server;
 };
--- a/tests/fakes/gateway_world/http_server.cpp
+++ b/tests/fakes/gateway_world/http_server.cpp
@@ -27,15 +27,7 @@
     this->options->on_closed = [this](const auto& connection) {
         this->connections.erase(connection);
     };
-    this->listener =
-        std::make_unique<event::tcp_listener>(loop, [this](auto stream) {
-            auto connection = std::make_shared<http1::server_connection>(
-                this->event_loop, std::move(stream), this->options);
-            this->connections.insert(connection);
-            connection->start();
-        });
-    this->listener->listen({"127.0.0.1", 0});
-    this->port = std::uint16_t(this->listener->port());
+    this->listen();
 }
 
 http_server::~http_server()
@@ -48,6 +40,24 @@
     return {"127.0.0.1", this->port};
 }
 
+auto http_server::listen() -> void
+{
+    this->listener = std::make_unique<event::tcp_listener>(
+        this->event_loop, [this](auto stream) {
+            auto connection = std::make_shared<http1::server_connection>(
+                this->event_loop, std::move(stream), this->options);
+            this->connections.insert(connection);
+            connection->start();
+        });
+    this->listener->listen(this->address());
+    this->port = std::uint16_t(this->listener->port());
+}
+
+auto http_server::reopen() -> void
+{
+    this->listen();
+}
+
 auto http_server::close() -> void
 {
     this->listener.reset();
--- a/tests/fakes/gateway_world/http_server.h
+++ b/tests/fakes/gateway_world/http_server.h
@@ -27,7 +27,12 @@
     /// Closes every connection and the listener.
     auto close() -> void;
 
+    /// Listens again, at the same address.
+    auto reopen() -> void;
+
 private:
+    auto listen() -> void;
+
     event::loop& event_loop;
     std::shared_ptr<http1::server_options> options;
     std::unique_ptr<event::tcp_listener> listener;
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr auto caller_patience = core::milliseconds(4000);
+constexpr auto own_tokens = std::uint64_t(40);
 
 auto is_repeatable(const std::string& path) -> bool
 {
@@ -20,7 +21,7 @@
 }
 
 auto request_text(const call_record& record, const std::string& key,
-                  const std::string& session, std::uint64_t shared_tokens)
+                  const std::string& prompt, std::uint64_t shared_tokens)
     -> std::string
 {
     auto request = http1::request_message();
@@ -32,12 +33,9 @@
                        {"Authorization", "Bearer " + key}};
     if (is_stream(record.path)) {
         request.headers.add("X-Almondtiller-Model", "m");
-        constexpr auto own_tokens = std::uint64_t(40);
         request.headers.add("X-Almondtiller-Token-Counts",
                             std::to_string(shared_tokens + own_tokens) + ",20");
-        request.headers.add("X-Almondtiller-Prompt-Prefix",
-                            session + ":" + std::to_string(shared_tokens) +
-                                ",9b:" + std::to_string(own_tokens));
+        request.headers.add("X-Almondtiller-Prompt-Prefix", prompt);
     }
     if (record.path.starts_with("staged")) {
         request.headers.add("X-Almondtiller-Pieces", "2,3");
@@ -62,6 +60,11 @@
     this->shared_tokens = tokens;
 }
 
+auto world_caller::set_prompt(std::string parts) -> void
+{
+    this->prompt = std::move(parts);
+}
+
 auto world_caller::call(const core::endpoint& front, const std::string& path,
                         const std::string& key) -> call_record&
 {
@@ -75,6 +78,11 @@
         this->sessions == 0
             ? std::string("5c")
             : std::to_string(this->last_number % this->sessions);
+    const auto parts = this->prompt.empty()
+                           ? session + ":" +
+                                 std::to_string(this->shared_tokens) +
+                                 ",9b:" + std::to_string(own_tokens)
+                           : this->prompt;
     auto hooks = http1::pool_hooks();
     hooks.on_head = [&record](const http1::response_head& head) {
         record.status = head.status;
@@ -93,7 +101,7 @@
     auto options = http1::call_options();
     options.longest_idle = core::milliseconds(2000);
     this->pool.call({core::to_text(front), front},
-                    request_text(record, key, session, this->shared_tokens),
+                    request_text(record, key, parts, this->shared_tokens),
                     options, std::move(hooks));
     return record;
 }
--- a/tests/fakes/gateway_world/world_caller.h
+++ b/tests/fakes/gateway_world/world_caller.h
@@ -45,6 +45,10 @@
     auto set_sessions(std::uint64_t sessions, std::uint64_t tokens = 60)
         -> void;
 
+    /// Sets the prompt of the requests, as a list of parts; by default it
+    /// consists of a part of the session and one of the request.
+    auto set_prompt(std::string parts) -> void;
+
     /// Waits until a call has ended.
     /// \return False if it has not ended within the callers' timeout.
     auto wait(const call_record& record) -> bool;
@@ -64,6 +68,7 @@
     std::uint64_t last_number = 0;
     std::uint64_t sessions = 0;
     std::uint64_t shared_tokens = 60;
+    std::string prompt;
 };
 
 } // namespace almondtiller::gateway_world
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -188,6 +188,13 @@
         }
     }
 
+    auto set_fatal_part(const std::string& part) -> void
+    {
+        for (const auto& [id, upstream] : this->world.upstreams) {
+            upstream->set_fatal_part(part);
+        }
+    }
+
     /// Sends a resumable request with stages.
     /// \param mode The mode of the upstream that receives it first; all others
     ///        work.
@@ -597,6 +604,24 @@
     this->expect_no_faults();
 }
 
+// Upstreams crash when they begin to answer a prompt with one of its parts. The
+// nodes once sent such requests to one upstream after the other.
+TEST_F(whole_path_test, a_prompt_part_that_crashes_upstreams_is_not_sent_again)
+{
+    this->set_fatal_part("dead");
+    for (auto round = std::size_t(0); round < 12; ++round) {
+        const auto number = std::to_string(round);
+        const auto at = round % this->nodes.size();
+        this->caller.set_prompt("5c:60,a" + number + ":20,9b:40");
+        EXPECT_EQ(this->send_request("resumable", at).status, 200);
+        this->caller.set_prompt("5c:60,dead:20,b" + number + ":20,9b:40");
+        this->send_request("stream", at);
+    }
+    EXPECT_LE(this->world.journal.crashes.size(), 4U);
+    EXPECT_EQ(this->caller.records().back()->status, 503);
+    this->expect_no_faults();
+}
+
 TEST_F(whole_path_test, sends_nothing_to_draining_upstreams_or_evacuated_zones)
 {
     this->world.register_upstream(*this->world.upstreams["desk-a"], "draining");
