--- a/src/libs/dispatch/dispatch.h
+++ b/src/libs/dispatch/dispatch.h
@@ -6,6 +6,7 @@
 /// threads or clock reads.
 
 #include "dispatch/placement.h"
+#include "dispatch/prompt_quarantine.h"
 #include "dispatch/rate_limit.h"
 #include "dispatch/request_pacer.h"
 #include "dispatch/retry_budget.h"
