Reject prompts with a part that crashes upstreams

Cause: nothing related a crash to the prompts that were at the upstream. Nodes judged upstreams and routes, and sent each such request to the next upstream.

A node that loses a connection before the answer has begun probes the upstream once. If connections are refused, the upstream has crashed, and the node tells the others which parts were there. All nodes decide from the same observations, tell each other with their status which parts are in quarantine, and reject requests with these at once, 503 as they have not run. A node that starts learns them from the first status of a peer. Nodes of earlier versions ignore both. Neither a key nor a route nor a shared part is blocked, as answers to other prompts clear those.

--- /dev/null
+++ b/src/services/gateway/crash_messages.cpp
@@ -0,0 +1,101 @@
+#include "services/gateway/crash_messages.h"
+
+#include "fleet/fleet_errc.h"
+
+#include <nlohmann/json.hpp>
+
+namespace almondtiller::gateway {
+
+namespace {
+
+using json = nlohmann::json;
+
+auto age_ms(core::time_point at, core::time_point now) -> std::int64_t
+{
+    return std::chrono::duration_cast<core::milliseconds>(now - at).count();
+}
+
+auto time_before(const json& age, core::time_point now) -> core::time_point
+{
+    return now - core::milliseconds(age.get<std::int64_t>());
+}
+
+auto suspect_to_json(const dispatch::suspect_part& suspect,
+                     core::time_point now) -> json
+{
+    auto entry = json::array({suspect.part});
+    if (suspect.answered_at) {
+        entry.push_back(age_ms(*suspect.answered_at, now));
+    }
+    return entry;
+}
+
+auto suspect_from_json(const json& entry, core::time_point now)
+    -> dispatch::suspect_part
+{
+    auto suspect = dispatch::suspect_part();
+    suspect.part = entry.at(0).get<std::uint64_t>();
+    if (entry.size() > 1) {
+        suspect.answered_at = time_before(entry.at(1), now);
+    }
+    return suspect;
+}
+
+auto crash_to_json(const dispatch::upstream_crash& crash, core::time_point now)
+    -> json
+{
+    auto requests = json::array();
+    for (const auto& request : crash.requests) {
+        auto parts = json::array();
+        for (const auto& suspect : request) {
+            parts.push_back(suspect_to_json(suspect, now));
+        }
+        requests.push_back(std::move(parts));
+    }
+    return json::array({crash.upstream.str(), age_ms(crash.at, now), requests});
+}
+
+auto crash_from_json(const json& entry, core::time_point now)
+    -> dispatch::upstream_crash
+{
+    auto crash = dispatch::upstream_crash();
+    crash.upstream = core::upstream_id(entry.at(0).get<std::string>());
+    crash.at = time_before(entry.at(1), now);
+    for (const auto& request : entry.at(2)) {
+        auto& parts = crash.requests.emplace_back();
+        for (const auto& suspect : request) {
+            parts.push_back(suspect_from_json(suspect, now));
+        }
+    }
+    return crash;
+}
+
+} // namespace
+
+auto encode(const crash_message& message, core::time_point now) -> std::string
+{
+    const auto value = json::array(
+        {message.crash ? crash_to_json(*message.crash, now) : json(),
+         message.answered});
+    auto bytes = std::string();
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+auto decode_crash(std::string_view body, core::time_point now)
+    -> core::result<crash_message>
+{
+    try {
+        const auto value = json::from_msgpack(body.begin(), body.end());
+        auto message = crash_message();
+        if (!value.at(0).is_null()) {
+            message.crash = crash_from_json(value.at(0), now);
+        }
+        message.answered = value.at(1).get<dispatch::part_hashes>();
+        return message;
+    } catch (const json::exception&) {
+        return make_error_code(fleet::fleet_errc::malformed_message);
+    }
+}
+
+} // namespace almondtiller::gateway
--- /dev/null
+++ b/src/services/gateway/crash_messages.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/result.h"
+#include "dispatch/prompt_quarantine.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace almondtiller::gateway {
+
+/// What a node has observed about the prompt parts that crash upstreams.
+struct crash_message
+{
+    /// A crash that the node has detected.
+    std::optional<dispatch::upstream_crash> crash;
+    /// Suspected parts of a prompt whose answer has begun.
+    dispatch::part_hashes answered;
+
+    auto operator==(const crash_message&) const -> bool = default;
+};
+
+// Times are sent as milliseconds from now, because the clocks of nodes differ.
+// Decoding fails with fleet_errc::malformed_message if the message cannot be
+// read.
+
+[[nodiscard]] auto encode(const crash_message& message, core::time_point now)
+    -> std::string;
+[[nodiscard]] auto decode_crash(std::string_view body, core::time_point now)
+    -> core::result<crash_message>;
+
+} // namespace almondtiller::gateway
--- a/src/services/gateway/flow_limits.h
+++ b/src/services/gateway/flow_limits.h
@@ -42,6 +42,10 @@
 inline constexpr auto max_answer_bytes = std::size_t(1) << 20U;
 inline constexpr auto max_event_bytes = std::size_t(1) << 18U;
 
+/// Reason of rejections because the prompt has a part that crashes upstreams.
+inline constexpr auto quarantine_reason = "prompt_part_quarantined";
+inline constexpr auto quarantine_retry_after = core::milliseconds(5000);
+
 inline constexpr auto bad_gateway = 502;
 inline constexpr auto unavailable = 503;
 inline constexpr auto gateway_timeout = 504;
--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -31,7 +31,8 @@
             this->follower.revisions(),
             this->serving_state.config() ? this->serving_state.config()->version
                                          : 0,
-            this->incarnation};
+            this->incarnation,
+            this->crashes.quarantined()};
 }
 
 auto node::state::status_text() -> const std::string&
@@ -63,6 +64,8 @@
                       [](const auto& flow) { return !flow.expired(); }));
     view.upstream_connections = this->pool.opened();
     view.log_lines_dropped = this->log.dropped();
+    view.quarantined_parts = this->crashes.quarantined().size();
+    view.upstream_crashes = this->crashes.crash_count();
     view.services = this->local.loads();
     view.store = this->follower.views();
     return view;
@@ -198,6 +201,7 @@
     const auto owners = choose_owners(live);
     const auto watchers = choose_watchers(owners, live.size());
     this->follower.set_watchers(watchers);
+    this->crashes.set_watchers(watchers);
     this->mesh.set_pinned(choose_sources(watchers, this->settings.node, owners,
                                          this->settings.zone));
     this->client.set_candidates(owners);
@@ -225,6 +229,7 @@
         const auto before =
             as_ready(view, reported.text.empty() ? nullptr : &reported);
         reported = {text, status.value(), view.entry.incarnation};
+        this->crashes.adopt(peer, status.value().quarantined);
         if (as_ready(view, &reported) != before) {
             this->update_candidates();
         }
@@ -260,6 +265,7 @@
         }
     });
     serve_peers(this->mesh, this->local, this->event_loop, this->log);
+    this->crashes.serve();
     if (const auto error = this->mesh.listen()) {
         return error;
     }
--- a/src/services/gateway/node_leave.cpp
+++ b/src/services/gateway/node_leave.cpp
@@ -16,6 +16,7 @@
                this->serving_state.upstreams().contains(core::upstream_id(key));
     });
     std::erase_if(this->flows, [](const auto& flow) { return flow.expired(); });
+    this->crashes.expire();
 }
 
 auto node::state::leave() -> void
--- a/src/services/gateway/node_metrics.cpp
+++ b/src/services/gateway/node_metrics.cpp
@@ -26,6 +26,12 @@
 constexpr auto limited_info = core::metric_info{
     "almondtiller_gateway_limited_upstreams", metric_kind::gauge,
     "Upstreams that state a limit on their rate of requests, by service."};
+constexpr auto quarantined_info = core::metric_info{
+    "almondtiller_gateway_quarantined_prompt_parts", metric_kind::gauge,
+    "Prompt parts whose requests are rejected because they crash upstreams."};
+constexpr auto crashes_info = core::metric_info{
+    "almondtiller_gateway_upstream_crashes_total", metric_kind::counter,
+    "Crashes of upstreams before they began to answer a prompt of this node."};
 constexpr auto connections_info = core::metric_info{
     "almondtiller_gateway_connections_opened_total", metric_kind::counter,
     "Connections that were opened to upstreams and the store."};
@@ -113,6 +119,8 @@
                                     : 0.0);
     raise_to(registry.counter_for(connections_info), view.upstream_connections);
     raise_to(registry.counter_for(dropped_info), view.log_lines_dropped);
+    registry.gauge_for(quarantined_info).set(double(view.quarantined_parts));
+    raise_to(registry.counter_for(crashes_info), view.upstream_crashes);
     update_services(registry, view);
     update_upstreams(registry, serving_state);
     for (const auto& kind : view.store) {
--- a/src/services/gateway/node_metrics.h
+++ b/src/services/gateway/node_metrics.h
@@ -42,6 +42,8 @@
     std::size_t peers_alive = 0;
     std::uint64_t upstream_connections = 0;
     std::uint64_t log_lines_dropped = 0;
+    std::size_t quarantined_parts = 0;
+    std::uint64_t upstream_crashes = 0;
     std::vector<service_load> services;
     std::vector<store_view> store;
 };
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "event/tcp_listener.h"
+#include "services/gateway/crash_monitor.h"
 #include "services/gateway/flow_limits.h"
 #include "services/gateway/gateway.h"
 #include "services/gateway/ready_nodes.h"
@@ -56,6 +57,7 @@
     dispatcher local;
     dispatch_client client;
     store_follower follower;
+    crash_monitor crashes;
     flow_context shared;
     std::vector<std::unique_ptr<event::tcp_listener>> listeners;
     std::set<std::shared_ptr<http1::server_connection>> connections;
@@ -92,10 +94,11 @@
           follower(loop, this->pool, this->settings.store, this->serving_state,
                    this->mesh, logger,
                    [this]() { this->on_serving_state_changed(); }),
-          shared{loop,         this->serving_state,
-                 this->client, this->pool,
-                 logger,       this->metrics,
-                 this->random, this->make_verdict_hook()},
+          crashes(loop, this->mesh, logger,
+                  [this]() { this->mesh.send_heartbeat_now(); }),
+          shared{loop,          this->serving_state, this->client,
+                 this->pool,    this->crashes,       logger,
+                 this->metrics, this->random,        this->make_verdict_hook()},
           sweep_timer(loop, [this]() { this->sweep(); }),
           leave_timer(loop, [this]() { this->continue_leaving(); }),
           stop_timer(loop, [this]() { this->on_stopped(); })
--- a/src/services/gateway/peer_messages.cpp
+++ b/src/services/gateway/peer_messages.cpp
@@ -178,10 +178,10 @@
 
 auto encode(const node_status& status) -> std::string
 {
-    return pack(json::array({status.is_ready, core::to_text(status.front),
-                             status.zone.str(), status.revisions,
-                             status.capacity.cores, status.capacity.link_mbps,
-                             status.configuration, status.incarnation}));
+    return pack(json::array(
+        {status.is_ready, core::to_text(status.front), status.zone.str(),
+         status.revisions, status.capacity.cores, status.capacity.link_mbps,
+         status.configuration, status.incarnation, status.quarantined}));
 }
 
 auto decode_status(std::string_view body) -> core::result<node_status>
@@ -197,6 +197,7 @@
         // Earlier versions of the program do not send these fields.
         constexpr auto configuration_index = std::size_t(6);
         constexpr auto incarnation_index = std::size_t(7);
+        constexpr auto quarantined_index = std::size_t(8);
         if (value.size() > configuration_index) {
             status.configuration =
                 value.at(configuration_index).get<std::int64_t>();
@@ -204,6 +205,10 @@
         if (value.size() > incarnation_index) {
             status.incarnation = value.at(incarnation_index).get<std::string>();
         }
+        if (value.size() > quarantined_index) {
+            status.quarantined =
+                value.at(quarantined_index).get<dispatch::part_hashes>();
+        }
         return status;
     });
 }
--- a/src/services/gateway/peer_messages.h
+++ b/src/services/gateway/peer_messages.h
@@ -2,6 +2,7 @@
 
 #include "core/result.h"
 #include "dispatch/placement.h"
+#include "dispatch/prompt_quarantine.h"
 #include "dispatch/stage_queue.h"
 
 #include <optional>
@@ -36,6 +37,8 @@
     /// Distinguishes this status from those that the node sent before a
     /// restart.
     std::string incarnation;
+    /// Prompt parts that the node has in quarantine.
+    dispatch::part_hashes quarantined;
 
     auto operator==(const node_status&) const -> bool = default;
 };
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -18,6 +18,11 @@
         this->place(this->attempts > 0);
         return;
     }
+    if (this->shared.crashes.is_quarantined(this->request.prompt)) {
+        this->end_attempt(dispatch::attempt_end::cancelled);
+        this->end_incomplete(quarantine_reason, bad_gateway);
+        return;
+    }
     auto send_parameters = serving::upstream_send();
     send_parameters.expected = granted.id;
     send_parameters.time_left = to_ms(this->deadline - now);
@@ -143,6 +148,7 @@
     this->last_event = now;
     if (!this->caller->is_started()) {
         this->first_event = now;
+        this->shared.crashes.on_answer_begun(this->request.prompt);
         this->caller->start(this->verdict.status,
                             adapter::answer_headers(*this->head), std::nullopt);
         if (this->stages) {
@@ -178,6 +184,9 @@
     } else if (this->verdict.not_run) {
         this->on_not_run();
     } else {
+        if (!this->is_stream) {
+            this->shared.crashes.on_answer_begun(this->request.prompt);
+        }
         this->on_answer();
     }
 }
@@ -254,6 +263,10 @@
     this->progress_timer.stop();
     this->head.reset();
     if (this->upstream) {
+        if (sent && this->events.event_count() == 0) {
+            this->shared.crashes.on_attempt_failed(*this->upstream,
+                                                   this->request.prompt, error);
+        }
         this->excluded.push_back(this->upstream->id);
     }
     this->end_attempt(dispatch::attempt_end::failed);
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -5,6 +5,7 @@
 #include "event/timer.h"
 #include "http1/server_connection.h"
 #include "platform/upstream_messages.h"
+#include "services/gateway/crash_monitor.h"
 #include "services/gateway/dispatch_client.h"
 #include "services/gateway/event_stream.h"
 #include "services/gateway/flow_metrics.h"
@@ -24,6 +25,7 @@
     const dispatch::serving_state& serving_state;
     dispatch_client& dispatch;
     http1::client_pool& pool;
+    crash_monitor& crashes;
     event_log& log;
     flow_metrics& metrics;
     core::random_source& random;
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -14,6 +14,8 @@
 constexpr auto plain_time = core::milliseconds(3);
 constexpr auto event_gap = core::milliseconds(4);
 constexpr auto call_time = core::milliseconds(5);
+/// Time from the receipt of a prompt that crashes the upstream to the crash.
+constexpr auto crash_delay = core::milliseconds(200);
 /// How long a crashed upstream accepts no connections.
 constexpr auto crash_time = core::milliseconds(2000);
 
@@ -116,7 +118,7 @@
 
 auto fake_upstream::crash_and_return(const run_record& cause) -> void
 {
-    this->after(event_gap, [this, cause]() {
+    this->after(crash_delay, [this, cause]() {
         this->journal.crashes.push_back(cause);
         this->return_timer.start(crash_time);
         this->crash();
@@ -229,6 +231,10 @@
         this->crash_and_return(this->journal.arrivals.back());
         return;
     }
+    if (this->mode == upstream_mode::loses_answers) {
+        this->after(event_gap, [exchange]() { exchange->abort(); });
+        return;
+    }
     if (is_stream) {
         const auto last = std::string(request.headers.find("Last-Event-Id"));
         const auto first = last.empty() ? 1 : std::stoi(last) + 1;
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -17,6 +17,7 @@
     works,
     hangs,          ///< Accepts requests and never answers.
     aborts_answers, ///< Aborts answers half-way.
+    loses_answers,  ///< Aborts answers before they begin.
     rejects_all,    ///< Rejects every request as not run.
     rejects_frees,  ///< Rejects only calls that free results.
     endless,        ///< Sends an answer without end.
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -1,5 +1,6 @@
 #include "services/gateway/peer_messages.h"
 
+#include "services/gateway/crash_messages.h"
 #include "services/gateway/directory_choice.h"
 #include "services/gateway/owner_choice.h"
 #include "services/gateway/peer_gossip.h"
@@ -32,6 +33,26 @@
     EXPECT_EQ(read.value().work.items, message.work.items);
 }
 
+TEST(peer_messages, carry_crashes_with_the_age_of_their_answers)
+{
+    const auto sent = core::time_point(std::chrono::hours(1));
+    const auto received = core::time_point(std::chrono::hours(9));
+    const auto answered = core::milliseconds(40);
+    auto message = crash_message();
+    message.answered = {1, 2};
+    message.crash.emplace();
+    message.crash->upstream = core::upstream_id("u");
+    message.crash->at = sent - core::milliseconds(5);
+    message.crash->requests = {{{3, std::nullopt}, {4, sent - answered}}, {}};
+    const auto read = decode_crash(encode(message, sent), received);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().answered, message.answered);
+    EXPECT_EQ(read.value().crash->at, received - core::milliseconds(5));
+    EXPECT_EQ(read.value().crash->requests,
+              (std::vector<std::vector<dispatch::suspect_part>>{
+                  {{3, std::nullopt}, {4, received - answered}}, {}}));
+}
+
 TEST(peer_messages, carry_the_status_of_a_node)
 {
     auto status = node_status();
@@ -41,6 +62,7 @@
     status.capacity = {0.5, 200};
     status.revisions = {4, 5, 6, 7};
     status.configuration = 9;
+    status.quarantined = {3, 7};
     const auto read = decode_status(encode(status));
     ASSERT_TRUE(read);
     EXPECT_EQ(read.value(), status);
@@ -81,6 +103,7 @@
 {
     const auto now = core::time_point();
     static_cast<void>(decode_status(bytes));
+    static_cast<void>(decode_crash(bytes, {}));
     static_cast<void>(decode_stage(bytes, now));
     static_cast<void>(decode_place(bytes, now));
     static_cast<void>(decode_stage_outcome(bytes));
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -17,6 +17,9 @@
 using gateway_world::store_mode;
 using gateway_world::upstream_mode;
 
+constexpr auto quarantined_metric =
+    "almondtiller_gateway_quarantined_prompt_parts";
+
 /// Several nodes in one process, on the world's event loop.
 class whole_path_test : public testing::Test
 {
@@ -622,6 +625,46 @@
     this->expect_no_faults();
 }
 
+TEST_F(whole_path_test,
+       a_request_that_crashes_upstreams_is_not_repeated_for_long)
+{
+    this->set_fatal_part("dead");
+    this->caller.set_prompt("5c:60,dead:20,9b:40");
+    EXPECT_EQ(this->send_request("resumable").status, 502);
+    EXPECT_EQ(this->send_request("resumable", 1).status, 503);
+    EXPECT_EQ(this->world.journal.crashes.size(), 3U);
+}
+
+TEST_F(whole_path_test, a_new_node_rejects_the_prompts_that_crash_upstreams)
+{
+    this->set_fatal_part("dead");
+    this->caller.set_prompt("5c:60,dead:20,9b:40");
+    this->send_request("resumable");
+    const auto crashes = this->world.journal.crashes.size();
+    const auto& added = this->add_node("b");
+    this->wait_ready(added);
+    ASSERT_TRUE(this->world.run_until([this]() {
+        return this->metric(quarantined_metric) == double(this->nodes.size());
+    }));
+    const auto last = this->nodes.size() - 1;
+    EXPECT_EQ(this->send_request("stream", last).status, 503);
+    EXPECT_EQ(this->world.journal.crashes.size(), crashes);
+    this->expect_no_faults();
+}
+
+// An upstream may run a request and lose its answer, or be cut off from it by
+// the network. That says nothing about the prompt.
+TEST_F(whole_path_test, prompts_whose_answers_are_lost_are_sent_again)
+{
+    this->set_model_mode(upstream_mode::loses_answers);
+    for (auto round = 0; round < 6; ++round) {
+        EXPECT_EQ(this->send_request("stream").status, 502);
+    }
+    this->set_model_mode(upstream_mode::works);
+    EXPECT_EQ(this->send_request("stream").status, 200);
+    EXPECT_EQ(this->metric("almondtiller_gateway_upstream_crashes_total"), 0);
+}
+
 TEST_F(whole_path_test, sends_nothing_to_draining_upstreams_or_evacuated_zones)
 {
     this->world.register_upstream(*this->world.upstreams["desk-a"], "draining");
@@ -981,6 +1024,23 @@
     this->expect_no_faults();
 }
 
+TEST_F(large_fleet_test, all_nodes_learn_which_prompts_crash_upstreams)
+{
+    this->set_fatal_part("dead");
+    this->caller.set_prompt("5c:60,dead:20,9b:40");
+    this->send_request("resumable");
+    EXPECT_TRUE(this->world.run_until(
+        [this]() {
+            return this->metric(quarantined_metric) ==
+                   double(this->nodes.size());
+        },
+        core::milliseconds(3000)));
+    for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+        EXPECT_EQ(this->send_request("stream", at).status, 503);
+    }
+    EXPECT_LE(this->world.journal.crashes.size(), 3U);
+}
+
 // Load pattern: the configuration has more than half a megabyte, and new
 // versions appear before all nodes have read the last one. A node was once sent
 // every version that it had missed, which exceeded the size of a message.
