Spare a shared part when upstreams crash together first

Cause: the shared part was at the common crash and at the first two crashes of the fatal part, so it reached three crashes first. No answer with it was known to the nodes that reported, and the third crash was judged by the report that came first.

A crash is now judged 200 ms after its first report, when all nodes have reported theirs. A node replies to a report with answers that the reporter does not know, and the reporter shares these. And while a later part of a prompt lacks one crash, those before it are not chosen until the fifth.

--- a/src/libs/dispatch/prompt_quarantine.cpp
+++ b/src/libs/dispatch/prompt_quarantine.cpp
@@ -79,8 +79,7 @@
     return found != this->entries.end() && found->second.is_active;
 }
 
-auto prompt_quarantine::record(const upstream_crash& crash)
-    -> const upstream_crash&
+auto prompt_quarantine::record(const upstream_crash& crash) -> void
 {
     const auto same = std::find_if(
         this->crashes.begin(), this->crashes.end(), [&](const auto& known) {
@@ -91,15 +90,15 @@
         if (this->crashes.size() >= max_crashes) {
             this->crashes.pop_front();
         }
-        this->crashes.push_back(crash);
-        return this->crashes.back();
+        this->crashes.push_back({crash});
+        return;
     }
+    same->is_undecided = true;
     const auto room =
         max_requests - std::min(same->requests.size(), max_requests);
     const auto count = std::min(room, crash.requests.size());
     same->requests.insert(same->requests.end(), crash.requests.begin(),
                           crash.requests.begin() + std::ptrdiff_t(count));
-    return *same;
 }
 
 auto prompt_quarantine::is_explained(const upstream_crash& crash) const -> bool
@@ -153,18 +152,24 @@
     auto less_specific = std::set<std::uint64_t>();
     for (const auto& request : crash.requests) {
         // The later a part in the prompt, the fewer requests share it.
-        const auto last = std::find_if(
-            request.rbegin(), request.rend(), [&](const auto& suspect) {
-                return this->answered_at(suspect.part).has_value() ==
-                           is_answered &&
-                       this->is_conclusive(suspect.part, crash.at);
-            });
-        if (last == request.rend()) {
-            continue;
-        }
-        chosen.insert(last->part);
-        for (auto other = std::next(last); other != request.rend(); ++other) {
-            less_specific.insert(other->part);
+        auto has_chosen = false;
+        auto is_undecided = false;
+        for (auto item = request.rbegin(); item != request.rend(); ++item) {
+            const auto part = item->part;
+            if (this->answered_at(part).has_value() != is_answered) {
+                continue;
+            }
+            const auto count = this->count_crashes(part);
+            if (!this->is_conclusive(part, crash.at)) {
+                // One more crash decides between this part and those before it.
+                is_undecided = is_undecided || count + 1 == conclusive_crashes;
+            } else if (has_chosen || (is_undecided &&
+                                      count < conclusive_crashes_if_answered)) {
+                less_specific.insert(part);
+            } else {
+                chosen.insert(part);
+                has_chosen = true;
+            }
         }
     }
     std::erase_if(chosen, [&less_specific](auto part) {
@@ -173,8 +178,7 @@
     return {chosen.begin(), chosen.end()};
 }
 
-auto prompt_quarantine::on_crash(const upstream_crash& crash,
-                                 core::time_point now) -> part_hashes
+auto prompt_quarantine::on_crash(const upstream_crash& crash) -> void
 {
     for (const auto& request : crash.requests) {
         for (const auto& suspect : request) {
@@ -183,36 +187,74 @@
             }
         }
     }
-    const auto& known = this->record(crash);
-    if (this->is_explained(known)) {
-        return {};
-    }
-    auto chosen = this->choose(known, false);
-    if (chosen.empty()) {
-        chosen = this->choose(known, true);
-    }
-    for (const auto part : chosen) {
-        this->entries[part] = {true, now + quarantine_time};
+    this->record(crash);
+}
+
+auto prompt_quarantine::decide(core::time_point now) -> part_hashes
+{
+    auto added = part_hashes();
+    for (auto& crash : this->crashes) {
+        if (!std::exchange(crash.is_undecided, false) ||
+            this->is_explained(crash)) {
+            continue;
+        }
+        auto chosen = this->choose(crash, false);
+        if (chosen.empty()) {
+            chosen = this->choose(crash, true);
+        }
+        for (const auto part : chosen) {
+            this->entries[part] = {true, crash.at, now + quarantine_time};
+            added.push_back(part);
+        }
     }
-    return chosen;
+    return added;
 }
 
-auto prompt_quarantine::on_answer_begun(const part_hashes& parts,
-                                        core::time_point now) -> part_hashes
+auto prompt_quarantine::on_answers(const std::vector<known_part>& parts,
+                                   core::time_point now)
+    -> std::vector<known_part>
 {
-    auto cleared = part_hashes();
-    for (const auto part : parts) {
-        if (this->is_active(part) || this->count_crashes(part) > 0) {
-            cleared.push_back(part);
+    auto cleared = std::vector<known_part>();
+    for (const auto& answer : parts) {
+        const auto at = answer.answered_at.value_or(now);
+        const auto before = this->count_crashes(answer.part);
+        const auto is_new = !this->answered_at(answer.part);
+        this->record_answer(answer.part, at);
+        auto is_released = false;
+        const auto found = this->entries.find(answer.part);
+        if (found != this->entries.end() && found->second.is_active &&
+            at > found->second.since) {
+            found->second = {false, at, now + release_retention};
+            is_released = true;
         }
-        this->record_answer(part, now);
-        if (this->is_active(part)) {
-            this->entries[part] = {false, now + release_retention};
+        if (is_released ||
+            (before > 0 &&
+             (is_new || this->count_crashes(answer.part) < before))) {
+            cleared.push_back({answer.part, at});
         }
     }
     return cleared;
 }
 
+auto prompt_quarantine::newer_answers(const upstream_crash& crash) const
+    -> std::vector<known_part>
+{
+    auto newer = std::map<std::uint64_t, core::time_point>();
+    for (const auto& request : crash.requests) {
+        for (const auto& suspect : request) {
+            const auto at = this->answered_at(suspect.part);
+            if (at && (!suspect.answered_at || *at > *suspect.answered_at)) {
+                newer[suspect.part] = *at;
+            }
+        }
+    }
+    auto answers = std::vector<known_part>();
+    for (const auto& [part, at] : newer) {
+        answers.push_back({part, at});
+    }
+    return answers;
+}
+
 auto prompt_quarantine::adopt(const part_hashes& parts, core::time_point now)
     -> part_hashes
 {
@@ -220,7 +262,7 @@
     for (const auto part : parts) {
         if (!this->entries.contains(part) &&
             this->entries.size() < max_entries) {
-            this->entries[part] = {true, now + quarantine_time};
+            this->entries[part] = {true, now, now + quarantine_time};
             added.push_back(part);
         }
     }
@@ -249,7 +291,7 @@
     auto released = part_hashes();
     for (auto& [part, known] : this->entries) {
         if (known.is_active && known.until <= now) {
-            known = {false, now + release_retention};
+            known = {false, now, now + release_retention};
             released.push_back(part);
         }
     }
--- a/src/libs/dispatch/prompt_quarantine.h
+++ b/src/libs/dispatch/prompt_quarantine.h
@@ -21,15 +21,15 @@
 [[nodiscard]] auto shared_parts(const std::vector<serving::prompt_part>& prompt)
     -> part_hashes;
 
-/// A part of the prompt of a request that was at an upstream when it crashed.
-struct suspect_part
+/// What a node knows about a part of a prompt.
+struct known_part
 {
     std::uint64_t part = 0;
     /// When an answer to a prompt with the part last began; empty if none is
     /// known.
     std::optional<core::time_point> answered_at;
 
-    auto operator==(const suspect_part&) const -> bool = default;
+    auto operator==(const known_part&) const -> bool = default;
 };
 
 /// A crash of an upstream.
@@ -38,7 +38,7 @@
     core::upstream_id upstream;
     core::time_point at;
     /// The shared parts of each request whose answer had not begun.
-    std::vector<std::vector<suspect_part>> requests;
+    std::vector<std::vector<known_part>> requests;
 
     auto operator==(const upstream_crash&) const -> bool = default;
 };
@@ -52,15 +52,23 @@
 {
 public:
     /// A crash was detected here or reported by another node.
+    auto on_crash(const upstream_crash& crash) -> void;
+
+    /// Decides on the crashes since the last call. To be called when all nodes
+    /// had time to report them.
     /// \return The parts that are in quarantine from now on.
-    auto on_crash(const upstream_crash& crash, core::time_point now)
-        -> part_hashes;
+    auto decide(core::time_point now) -> part_hashes;
 
-    /// An answer to a prompt with these parts has begun, which shows that none
-    /// of them crashes upstreams.
+    /// Answers to prompts with these parts have begun, which shows that none of
+    /// them crashed upstreams until then.
     /// \return Those that were suspected or in quarantine until now.
-    auto on_answer_begun(const part_hashes& parts, core::time_point now)
-        -> part_hashes;
+    auto on_answers(const std::vector<known_part>& parts, core::time_point now)
+        -> std::vector<known_part>;
+
+    /// \return The answers with parts of the crash's requests that are known
+    ///         here and more recent than those known to its reporter.
+    [[nodiscard]] auto newer_answers(const upstream_crash& crash) const
+        -> std::vector<known_part>;
 
     /// Another node has these parts in quarantine.
     /// \return Those that were not in quarantine here.
@@ -83,9 +91,15 @@
         -> std::optional<core::time_point>;
 
 private:
+    struct known_crash : upstream_crash
+    {
+        bool is_undecided = true;
+    };
     struct entry
     {
         bool is_active = false;
+        /// Time of the crash after which the quarantine began.
+        core::time_point since;
         /// End of the quarantine, or of the time for which its end is
         /// remembered.
         core::time_point until;
@@ -93,7 +107,7 @@
     using answer_times = std::unordered_map<std::uint64_t, core::time_point>;
 
     auto record_answer(std::uint64_t part, core::time_point at) -> void;
-    auto record(const upstream_crash& crash) -> const upstream_crash&;
+    auto record(const upstream_crash& crash) -> void;
     [[nodiscard]] auto is_active(std::uint64_t part) const -> bool;
     [[nodiscard]] auto is_explained(const upstream_crash& crash) const -> bool;
     /// \return The number of separate crashes since the last answer with the
@@ -105,7 +119,7 @@
     [[nodiscard]] auto is_conclusive(std::uint64_t part,
                                      core::time_point at) const -> bool;
 
-    std::deque<upstream_crash> crashes;
+    std::deque<known_crash> crashes;
     std::map<std::uint64_t, entry> entries;
     /// The more recent answers; the older ones are dropped all at once.
     answer_times answers;
--- a/src/services/gateway/crash_messages.cpp
+++ b/src/services/gateway/crash_messages.cpp
@@ -20,8 +20,8 @@
     return now - core::milliseconds(age.get<std::int64_t>());
 }
 
-auto suspect_to_json(const dispatch::suspect_part& suspect,
-                     core::time_point now) -> json
+auto part_to_json(const dispatch::known_part& suspect, core::time_point now)
+    -> json
 {
     auto entry = json::array({suspect.part});
     if (suspect.answered_at) {
@@ -30,10 +30,10 @@
     return entry;
 }
 
-auto suspect_from_json(const json& entry, core::time_point now)
-    -> dispatch::suspect_part
+auto part_from_json(const json& entry, core::time_point now)
+    -> dispatch::known_part
 {
-    auto suspect = dispatch::suspect_part();
+    auto suspect = dispatch::known_part();
     suspect.part = entry.at(0).get<std::uint64_t>();
     if (entry.size() > 1) {
         suspect.answered_at = time_before(entry.at(1), now);
@@ -41,16 +41,32 @@
     return suspect;
 }
 
+auto parts_to_json(const std::vector<dispatch::known_part>& parts,
+                   core::time_point now) -> json
+{
+    auto list = json::array();
+    for (const auto& part : parts) {
+        list.push_back(part_to_json(part, now));
+    }
+    return list;
+}
+
+auto parts_from_json(const json& list, core::time_point now)
+    -> std::vector<dispatch::known_part>
+{
+    auto parts = std::vector<dispatch::known_part>();
+    for (const auto& entry : list) {
+        parts.push_back(part_from_json(entry, now));
+    }
+    return parts;
+}
+
 auto crash_to_json(const dispatch::upstream_crash& crash, core::time_point now)
     -> json
 {
     auto requests = json::array();
     for (const auto& request : crash.requests) {
-        auto parts = json::array();
-        for (const auto& suspect : request) {
-            parts.push_back(suspect_to_json(suspect, now));
-        }
-        requests.push_back(std::move(parts));
+        requests.push_back(parts_to_json(request, now));
     }
     return json::array({crash.upstream.str(), age_ms(crash.at, now), requests});
 }
@@ -62,10 +78,7 @@
     crash.upstream = core::upstream_id(entry.at(0).get<std::string>());
     crash.at = time_before(entry.at(1), now);
     for (const auto& request : entry.at(2)) {
-        auto& parts = crash.requests.emplace_back();
-        for (const auto& suspect : request) {
-            parts.push_back(suspect_from_json(suspect, now));
-        }
+        crash.requests.push_back(parts_from_json(request, now));
     }
     return crash;
 }
@@ -76,7 +89,7 @@
 {
     const auto value = json::array(
         {message.crash ? crash_to_json(*message.crash, now) : json(),
-         message.answered});
+         parts_to_json(message.answered, now)});
     auto bytes = std::string();
     json::to_msgpack(value, bytes);
     return bytes;
@@ -91,7 +104,7 @@
         if (!value.at(0).is_null()) {
             message.crash = crash_from_json(value.at(0), now);
         }
-        message.answered = value.at(1).get<dispatch::part_hashes>();
+        message.answered = parts_from_json(value.at(1), now);
         return message;
     } catch (const json::exception&) {
         return make_error_code(fleet::fleet_errc::malformed_message);
--- a/src/services/gateway/crash_messages.h
+++ b/src/services/gateway/crash_messages.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace almondtiller::gateway {
 
@@ -14,8 +15,8 @@
 {
     /// A crash that the node has detected.
     std::optional<dispatch::upstream_crash> crash;
-    /// Suspected parts of a prompt whose answer has begun.
-    dispatch::part_hashes answered;
+    /// Suspected parts with which answers have begun.
+    std::vector<dispatch::known_part> answered;
 
     auto operator==(const crash_message&) const -> bool = default;
 };
--- a/src/services/gateway/crash_monitor.cpp
+++ b/src/services/gateway/crash_monitor.cpp
@@ -6,6 +6,7 @@
 #include "services/gateway/peer_topics.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace almondtiller::gateway {
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr auto share_timeout = core::milliseconds(2000);
+/// Time within which all nodes report a crash.
+constexpr auto report_period = core::milliseconds(200);
 constexpr auto max_requests_per_crash = std::size_t(64);
 
 /// \return Whether the upstream has ended the connection.
@@ -48,7 +51,11 @@
 
 crash_monitor::crash_monitor(event::loop& loop, peer_mesh& peers,
                              event_log& logger, std::function<void()> hook)
-    : event_loop(loop), mesh(peers), log(logger), on_quarantine(std::move(hook))
+    : event_loop(loop),
+      mesh(peers),
+      log(logger),
+      on_quarantine(std::move(hook)),
+      decision_timer(loop, [this]() { this->decide(); })
 {}
 
 auto crash_monitor::serve() -> void
@@ -57,22 +64,30 @@
                                           const std::string& body,
                                           const peer_mesh::reply& answer) {
         const auto message = decode_crash(body, this->event_loop.now());
+        auto reply = crash_message();
         if (!message) {
-            this->log.write(severity::notice, "peer_message_unreadable",
-                            {{"peer", sender.str()},
-                             {"topic", crash_topic},
-                             {"error", message.error().message()}});
+            this->log_unreadable(sender, message.error());
         } else {
-            this->apply_answer(message.value().answered, sender.str());
-            if (message.value().crash) {
-                this->apply(*message.value().crash, sender.str());
+            this->apply_answers(message.value().answered, sender.str());
+            if (const auto& crash = message.value().crash) {
+                reply.answered = this->quarantine.newer_answers(*crash);
+                this->apply(*crash);
             }
         }
-        answer(std::string());
+        answer(encode(reply, this->event_loop.now()));
         return std::function<void()>();
     });
 }
 
+auto crash_monitor::log_unreadable(const core::node_id& peer,
+                                   std::error_code error) -> void
+{
+    this->log.write(severity::notice, "peer_message_unreadable",
+                    {{"peer", peer.str()},
+                     {"topic", crash_topic},
+                     {"error", error.message()}});
+}
+
 auto crash_monitor::set_watchers(std::vector<core::node_id> nodes) -> void
 {
     this->watchers = std::move(nodes);
@@ -139,16 +154,24 @@
          {"age_ms", ms_text(this->event_loop.now() - crash.at)}});
     if (has_crashed) {
         ++this->crashes;
-        this->apply(crash, "self");
+        this->apply(crash);
         this->share({crash, {}});
     }
 }
 
-auto crash_monitor::apply(const dispatch::upstream_crash& crash,
-                          std::string_view source) -> void
+auto crash_monitor::apply(const dispatch::upstream_crash& crash) -> void
 {
-    const auto added = this->quarantine.on_crash(crash, this->event_loop.now());
-    this->log_parts("prompt_part_quarantined", added, source);
+    this->quarantine.on_crash(crash);
+    if (!std::exchange(this->is_decision_scheduled, true)) {
+        this->decision_timer.start(report_period);
+    }
+}
+
+auto crash_monitor::decide() -> void
+{
+    this->is_decision_scheduled = false;
+    const auto added = this->quarantine.decide(this->event_loop.now());
+    this->log_parts("prompt_part_quarantined", added, "self");
     if (!added.empty()) {
         this->on_quarantine();
     }
@@ -157,26 +180,33 @@
 auto crash_monitor::on_answer_begun(
     const std::vector<serving::prompt_part>& prompt) -> void
 {
-    const auto cleared =
-        this->apply_answer(dispatch::shared_parts(prompt), "self");
+    auto answers = std::vector<dispatch::known_part>();
+    for (const auto part : dispatch::shared_parts(prompt)) {
+        answers.push_back({part, this->event_loop.now()});
+    }
+    this->learn_answers(answers, "self");
+}
+
+auto crash_monitor::learn_answers(
+    const std::vector<dispatch::known_part>& answers, std::string_view source)
+    -> void
+{
+    const auto cleared = this->apply_answers(answers, source);
     if (!cleared.empty()) {
         this->share({std::nullopt, cleared});
     }
 }
 
-auto crash_monitor::apply_answer(const dispatch::part_hashes& parts,
-                                 std::string_view source)
-    -> dispatch::part_hashes
+auto crash_monitor::apply_answers(
+    const std::vector<dispatch::known_part>& answers, std::string_view source)
+    -> std::vector<dispatch::known_part>
 {
     const auto before = this->quarantine.parts();
-    auto cleared =
-        this->quarantine.on_answer_begun(parts, this->event_loop.now());
+    auto cleared = this->quarantine.on_answers(answers, this->event_loop.now());
+    const auto after = this->quarantine.parts();
     auto released = dispatch::part_hashes();
-    for (const auto part : cleared) {
-        if (std::find(before.begin(), before.end(), part) != before.end()) {
-            released.push_back(part);
-        }
-    }
+    std::set_difference(before.begin(), before.end(), after.begin(),
+                        after.end(), std::back_inserter(released));
     this->log_parts("prompt_part_released", released, source);
     return cleared;
 }
@@ -184,26 +214,41 @@
 auto crash_monitor::share(const crash_message& message) -> void
 {
     const auto body = encode(message, this->event_loop.now());
-    const auto send = [this, &body](const core::node_id& node) {
-        this->mesh.call(node, crash_topic, body, share_timeout,
-                        [](const auto&) {
-                            // A node that misses this learns from the others
-                            // which parts are in quarantine.
-                        });
-    };
     if (!this->watchers.empty()) {
         for (const auto& node : this->watchers) {
-            send(node);
+            this->send(node, body);
         }
         return;
     }
-    this->mesh.visit([&send](const peer_view& peer) {
+    this->mesh.visit([this, &body](const peer_view& peer) {
         if (peer.is_alive) {
-            send(peer.entry.node);
+            this->send(peer.entry.node, body);
         }
     });
 }
 
+auto crash_monitor::send(const core::node_id& node, const std::string& body)
+    -> void
+{
+    this->mesh.call(
+        node, crash_topic, body, share_timeout,
+        [this, node, alive = std::weak_ptr<bool>(this->is_alive)](
+            const core::result<std::string>& answer) {
+            // A node that misses a message learns from the others which parts
+            // are in quarantine.
+            if (!answer || alive.expired()) {
+                return;
+            }
+            const auto known =
+                decode_crash(answer.value(), this->event_loop.now());
+            if (known) {
+                this->learn_answers(known.value().answered, node.str());
+            } else {
+                this->log_unreadable(node, known.error());
+            }
+        });
+}
+
 auto crash_monitor::is_quarantined(
     const std::vector<serving::prompt_part>& prompt) -> bool
 {
--- a/src/services/gateway/crash_monitor.h
+++ b/src/services/gateway/crash_monitor.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/prompt_quarantine.h"
 #include "event/loop.h"
+#include "event/timer.h"
 #include "services/gateway/crash_messages.h"
 #include "services/gateway/event_log.h"
 #include "services/gateway/peer_mesh.h"
@@ -58,11 +59,19 @@
     auto probe(const serving::upstream& upstream) -> void;
     auto on_probed(const core::upstream_id& upstream, std::error_code error)
         -> void;
-    auto apply(const dispatch::upstream_crash& crash, std::string_view source)
-        -> void;
-    auto apply_answer(const dispatch::part_hashes& parts,
-                      std::string_view source) -> dispatch::part_hashes;
+    auto apply(const dispatch::upstream_crash& crash) -> void;
+    auto decide() -> void;
+    /// \return The parts that were suspected or in quarantine until now.
+    auto apply_answers(const std::vector<dispatch::known_part>& answers,
+                       std::string_view source)
+        -> std::vector<dispatch::known_part>;
+    /// Applies answers and shares those with suspected parts.
+    auto learn_answers(const std::vector<dispatch::known_part>& answers,
+                       std::string_view source) -> void;
     auto share(const crash_message& message) -> void;
+    auto send(const core::node_id& node, const std::string& body) -> void;
+    auto log_unreadable(const core::node_id& peer, std::error_code error)
+        -> void;
     auto log_parts(std::string_view event, const dispatch::part_hashes& parts,
                    std::string_view source) -> void;
 
@@ -75,6 +84,8 @@
     /// Crashes that are not confirmed yet.
     std::map<core::upstream_id, dispatch::upstream_crash> probed;
     std::uint64_t crashes = 0;
+    event::timer decision_timer;
+    bool is_decision_scheduled = false;
     std::shared_ptr<bool> is_alive = std::make_shared<bool>(true);
 };
 
--- a/tests/unit/dispatch/prompt_quarantine_test.cpp
+++ b/tests/unit/dispatch/prompt_quarantine_test.cpp
@@ -32,6 +32,14 @@
     return crash;
 }
 
+/// \return The parts that are in quarantine after the crash.
+auto report(prompt_quarantine& quarantine, const upstream_crash& crash)
+    -> part_hashes
+{
+    quarantine.on_crash(crash);
+    return quarantine.decide(crash.at);
+}
+
 TEST(prompt_quarantine, the_last_part_of_a_prompt_is_no_suspect)
 {
     EXPECT_EQ(shared_parts({{"5c", 60}, {"9b", 40}}).size(), 1U);
@@ -64,14 +72,15 @@
                                        requests.begin() + split),
               std::vector<part_hashes>(requests.begin() + split,
                                        requests.end())}) {
-            quarantine.on_crash(crash_of(crash, now, reported), now);
+            quarantine.on_crash(crash_of(crash, now, reported));
         }
+        quarantine.decide(now);
         if (quarantine.find({system_part, fatal_part}, now) == fatal_part) {
             found_at = crash;
         }
         RC_ASSERT(!quarantine.find({system_part}, now));
-        quarantine.on_answer_begun({system_part, ++next_part},
-                                   now + milliseconds(1));
+        quarantine.on_answers({{system_part, {}}, {++next_part, {}}},
+                              now + milliseconds(1));
     }
     RC_ASSERT(found_at > 0);
     RC_ASSERT(found_at <= 4);
@@ -85,15 +94,15 @@
     for (const auto is_answered : {false, true}) {
         auto quarantine = prompt_quarantine();
         if (is_answered) {
-            quarantine.on_answer_begun({system_part}, begin);
+            quarantine.on_answers({{system_part, {}}}, begin);
         }
         for (auto crash = 1; crash <= 12; ++crash) {
             const auto now = begin + seconds(crash * 4);
-            quarantine.on_crash(
+            report(
+                quarantine,
                 crash_of(crash, now,
                          {{system_part, fatal_part, 100 + std::uint64_t(crash)},
-                          {system_part, 200 + std::uint64_t(crash)}}),
-                now);
+                          {system_part, 200 + std::uint64_t(crash)}}));
         }
         EXPECT_EQ(quarantine.parts(), part_hashes{fatal_part});
     }
@@ -105,17 +114,58 @@
     for (const auto is_answered : {false, true}) {
         auto quarantine = prompt_quarantine();
         if (is_answered) {
-            quarantine.on_answer_begun({system_part}, begin);
+            quarantine.on_answers({{system_part, {}}}, begin);
         }
         for (auto crash = 0; crash < 40; ++crash) {
             const auto now = begin + seconds(1) + milliseconds(crash * 3);
             EXPECT_TRUE(
-                quarantine.on_crash(crash_of(crash, now, {{system_part}}), now)
+                report(quarantine, crash_of(crash, now, {{system_part}}))
                     .empty());
         }
     }
 }
 
+// All upstreams were lost at first, with requests that share the system prompt.
+TEST(prompt_quarantine,
+     waits_for_one_more_crash_if_a_later_part_may_be_the_cause)
+{
+    auto quarantine = prompt_quarantine();
+    report(quarantine, crash_of(0, begin, {{system_part, 100}}));
+    for (auto crash = 1; crash <= 3; ++crash) {
+        const auto now = begin + seconds(crash);
+        report(quarantine, crash_of(crash, now, {{system_part, fatal_part}}));
+    }
+    EXPECT_EQ(quarantine.parts(), part_hashes{fatal_part});
+}
+
+// Another request was at the upstreams, and another node reports it first.
+TEST(prompt_quarantine, a_request_that_is_reported_first_is_not_blamed)
+{
+    auto quarantine = prompt_quarantine();
+    for (auto crash = 0; crash < 3; ++crash) {
+        const auto now = begin + seconds(crash);
+        const auto own = 100 + std::uint64_t(crash);
+        quarantine.on_crash(crash_of(crash, now, {{system_part, own}}));
+        quarantine.on_crash(crash_of(crash, now + milliseconds(50),
+                                     {{system_part, fatal_part}}));
+        quarantine.decide(now + milliseconds(200));
+    }
+    EXPECT_EQ(quarantine.parts(), part_hashes{fatal_part});
+}
+
+// The node that reports a crash has seen no answer with the part, others have.
+TEST(prompt_quarantine, tells_the_reporter_of_newer_answers)
+{
+    auto quarantine = prompt_quarantine();
+    quarantine.on_answers({{system_part, begin}}, begin);
+    const auto now = begin + seconds(1);
+    auto reported = crash_of(1, now, {{system_part, fatal_part}});
+    EXPECT_EQ(quarantine.newer_answers(reported),
+              (std::vector<known_part>{{system_part, begin}}));
+    reported.requests[0][0].answered_at = begin;
+    EXPECT_TRUE(quarantine.newer_answers(reported).empty());
+}
+
 // Upstreams crash for a reason of their own, and prompts with the part are
 // answered between the crashes.
 TEST(prompt_quarantine, an_answered_part_is_not_blamed_for_many_crashes)
@@ -124,19 +174,17 @@
     for (auto crash = 0; crash < 40; ++crash) {
         const auto now = begin + seconds(crash);
         EXPECT_TRUE(
-            quarantine.on_crash(crash_of(crash, now, {{system_part}}), now)
-                .empty());
-        quarantine.on_answer_begun({system_part}, now + milliseconds(300));
+            report(quarantine, crash_of(crash, now, {{system_part}})).empty());
+        quarantine.on_answers({{system_part, {}}}, now + milliseconds(300));
     }
 }
 
 TEST(prompt_quarantine, one_crash_that_several_nodes_report_counts_once)
 {
     auto quarantine = prompt_quarantine();
-    for (auto report = 0; report < 10; ++report) {
+    for (auto number = 0; number < 10; ++number) {
         EXPECT_TRUE(
-            quarantine.on_crash(crash_of(1, begin, {{fatal_part}}), begin)
-                .empty());
+            report(quarantine, crash_of(1, begin, {{fatal_part}})).empty());
     }
 }
 
@@ -147,7 +195,7 @@
         const auto now = begin + seconds(crash);
         auto reported = crash_of(crash, now, {{system_part}});
         reported.requests[0][0].answered_at = now - milliseconds(9);
-        EXPECT_TRUE(quarantine.on_crash(reported, now).empty());
+        EXPECT_TRUE(report(quarantine, reported).empty());
     }
 }
 
@@ -156,10 +204,12 @@
     auto quarantine = prompt_quarantine();
     quarantine.adopt({fatal_part}, begin);
     EXPECT_EQ(quarantine.find({system_part, fatal_part}, begin), fatal_part);
-    EXPECT_EQ(quarantine.on_answer_begun({fatal_part}, begin),
-              part_hashes{fatal_part});
-    EXPECT_FALSE(quarantine.find({fatal_part}, begin));
-    EXPECT_TRUE(quarantine.adopt({fatal_part}, begin).empty())
+    const auto later = begin + seconds(1);
+    EXPECT_TRUE(quarantine.on_answers({{fatal_part, begin}}, later).empty())
+        << "the answer began before the quarantine";
+    EXPECT_EQ(quarantine.on_answers({{fatal_part, later}}, later).size(), 1U);
+    EXPECT_FALSE(quarantine.find({fatal_part}, later));
+    EXPECT_TRUE(quarantine.adopt({fatal_part}, later).empty())
         << "other nodes may not know yet that it is released";
 }
 
@@ -169,7 +219,7 @@
     auto quarantine = prompt_quarantine();
     for (auto crash = 0; crash < 3; ++crash) {
         const auto now = begin + seconds(crash);
-        quarantine.on_crash(crash_of(crash, now, {{fatal_part}}), now);
+        report(quarantine, crash_of(crash, now, {{fatal_part}}));
     }
     EXPECT_TRUE(quarantine.expire(begin + 4 * minute).empty());
     EXPECT_TRUE(quarantine.find({fatal_part}, begin + 4 * minute));
@@ -177,7 +227,7 @@
     EXPECT_EQ(quarantine.expire(begin + 10 * minute), part_hashes{fatal_part});
     EXPECT_FALSE(quarantine.find({fatal_part}, begin + 10 * minute));
     const auto again = begin + 11 * minute;
-    EXPECT_EQ(quarantine.on_crash(crash_of(9, again, {{fatal_part}}), again),
+    EXPECT_EQ(report(quarantine, crash_of(9, again, {{fatal_part}})),
               part_hashes{fatal_part})
         << "one more crash is enough";
 }
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -39,17 +39,19 @@
     const auto received = core::time_point(std::chrono::hours(9));
     const auto answered = core::milliseconds(40);
     auto message = crash_message();
-    message.answered = {1, 2};
+    message.answered = {{1, sent}, {2, sent - answered}};
     message.crash.emplace();
     message.crash->upstream = core::upstream_id("u");
     message.crash->at = sent - core::milliseconds(5);
     message.crash->requests = {{{3, std::nullopt}, {4, sent - answered}}, {}};
     const auto read = decode_crash(encode(message, sent), received);
     ASSERT_TRUE(read);
-    EXPECT_EQ(read.value().answered, message.answered);
+    EXPECT_EQ(read.value().answered,
+              (std::vector<dispatch::known_part>{{1, received},
+                                                 {2, received - answered}}));
     EXPECT_EQ(read.value().crash->at, received - core::milliseconds(5));
     EXPECT_EQ(read.value().crash->requests,
-              (std::vector<std::vector<dispatch::suspect_part>>{
+              (std::vector<std::vector<dispatch::known_part>>{
                   {{3, std::nullopt}, {4, received - answered}}, {}}));
 }
 
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -611,6 +611,14 @@
 // nodes once sent such requests to one upstream after the other.
 TEST_F(whole_path_test, a_prompt_part_that_crashes_upstreams_is_not_sent_again)
 {
+    for (const auto* id : {"model3-a", "model4-a", "model5-a", "model6-a"}) {
+        this->world.add_upstream(id, "model", "a");
+    }
+    ASSERT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_usable_upstreams{"
+                            "service=\"model\"}") ==
+               double(this->nodes.size() * 8);
+    }));
     this->set_fatal_part("dead");
     for (auto round = std::size_t(0); round < 12; ++round) {
         const auto number = std::to_string(round);
@@ -631,6 +639,9 @@
     this->set_fatal_part("dead");
     this->caller.set_prompt("5c:60,dead:20,9b:40");
     EXPECT_EQ(this->send_request("resumable").status, 502);
+    EXPECT_TRUE(this->world.run_until([this]() {
+        return this->metric(quarantined_metric) == double(this->nodes.size());
+    }));
     EXPECT_EQ(this->send_request("resumable", 1).status, 503);
     EXPECT_EQ(this->world.journal.crashes.size(), 3U);
 }
