--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -18,6 +18,12 @@
         this->place(this->attempts > 0);
         return;
     }
+    if (this->shared.crashes.is_quarantined(this->request.prompt)) {
+        this->shared.dispatch.report_ended(this->service, this->request.id,
+                                           dispatch::attempt_end::cancelled);
+        this->give_up(quarantine_reason, quarantine_retry_after);
+        return;
+    }
     if (this->is_replacing) {
         this->cancel_silent_attempt();
     }
@@ -153,6 +159,7 @@
     this->last_event = now;
     if (!this->caller->is_started()) {
         this->first_event = now;
+        this->shared.crashes.on_answer_begun(this->request.prompt);
         this->caller->start(this->verdict.status,
                             adapter::answer_headers(*this->head), std::nullopt);
         if (this->stages) {
@@ -191,6 +198,9 @@
         if (this->is_replacing) {
             this->keep_silent_attempt();
         }
+        if (!this->is_stream) {
+            this->shared.crashes.on_answer_begun(this->request.prompt);
+        }
         this->on_answer();
     }
 }
@@ -271,6 +281,10 @@
     this->log_broken_attempt(error, sent);
     this->progress_timer.stop();
     this->head.reset();
+    if (this->upstream && sent && this->events.event_count() == 0) {
+        this->shared.crashes.on_attempt_failed(*this->upstream,
+                                               this->request.prompt, error);
+    }
     if (this->is_replacing) {
         this->attempts -= sent ? 0 : 1;
         this->drop_silent_attempt();
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -14,6 +14,17 @@
 constexpr auto plain_time = core::milliseconds(3);
 constexpr auto event_gap = core::milliseconds(4);
 constexpr auto call_time = core::milliseconds(5);
+/// Time from the receipt of a prompt that crashes the upstream to the crash.
+constexpr auto crash_delay = core::milliseconds(200);
+/// How long a crashed upstream accepts no connections.
+constexpr auto crash_time = core::milliseconds(2000);
+
+/// \return Whether a list of prompt parts has the part.
+auto has_part(std::string_view prompt, const std::string& part) -> bool
+{
+    return ("," + std::string(prompt)).find("," + part + ":") !=
+           std::string::npos;
+}
 
 auto event_text(const std::string& request, int number) -> std::string
 {
@@ -43,6 +54,7 @@
       own_service(std::move(service)),
       own_zone(std::move(zone)),
       journal(shared),
+      return_timer(loop, [this]() { this->server.listen(); }),
       server(loop, [this](const auto& request, const auto& exchange) {
           this->on_request(request, exchange);
       })
@@ -104,6 +116,20 @@
     this->request_limit = std::move(per_second);
 }
 
+auto fake_upstream::set_fatal_part(std::string part) -> void
+{
+    this->fatal_part = std::move(part);
+}
+
+auto fake_upstream::crash_and_return(const run_record& cause) -> void
+{
+    this->after(crash_delay, [this, cause]() {
+        this->journal.crashes.push_back(cause);
+        this->return_timer.start(crash_time);
+        this->crash();
+    });
+}
+
 auto fake_upstream::with_limit(http1::header_list headers) const
     -> http1::header_list
 {
@@ -205,6 +231,15 @@
     if (this->mode == upstream_mode::hangs) {
         return;
     }
+    const auto prompt = request.headers.find("X-Almondtiller-Prompt-Prefix");
+    if (!this->fatal_part.empty() && has_part(prompt, this->fatal_part)) {
+        this->crash_and_return(this->journal.arrivals.back());
+        return;
+    }
+    if (this->mode == upstream_mode::loses_answers) {
+        this->after(event_gap, [exchange]() { exchange->abort(); });
+        return;
+    }
     if (is_stream) {
         const auto last = std::string(request.headers.find("Last-Event-Id"));
         if (this->mode == upstream_mode::fails_resumed_streams &&
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -18,6 +18,7 @@
     works,
     hangs,          ///< Accepts requests and never answers.
     aborts_answers, ///< Aborts answers half-way.
+    loses_answers,  ///< Aborts answers before they begin.
     rejects_all,    ///< Rejects every request as not run.
     rejects_frees,  ///< Rejects only calls that free results.
     endless,        ///< Sends an answer without end.
@@ -53,6 +54,8 @@
     std::vector<run_record> runs;
     /// All requests that have reached an upstream, including rejected ones.
     std::vector<run_record> arrivals;
+    /// Requests that have crashed an upstream.
+    std::vector<run_record> crashes;
     std::map<std::string, stage_output> results;
     std::uint64_t stage_calls = 0;
     /// Bytes sent in answers without end.
@@ -102,6 +105,10 @@
     /// the upstream; no limit if empty.
     auto set_request_limit(std::string per_second) -> void;
 
+    /// Makes the upstream crash when it begins to answer a request whose prompt
+    /// has this part, and return after a while; never if empty.
+    auto set_fatal_part(std::string part) -> void;
+
     /// Sets the address to register instead of its own, such as a proxy's.
     auto set_advertised(std::string address) -> void;
 
@@ -119,6 +126,8 @@
                       const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto run_plain(const std::string& request,
                    const std::shared_ptr<raw_exchange>& exchange) -> void;
+    /// Crashes when the answer begins, and listens again after a while.
+    auto crash_and_return(const run_record& cause) -> void;
     auto send_answer(const http1::header_list& headers, const std::string& body,
                      const std::shared_ptr<raw_exchange>& exchange) -> void;
     /// \return The time between an event and the one before it.
@@ -149,6 +158,8 @@
     bool is_leaving = false;
     std::string hold_off;
     std::string request_limit;
+    std::string fatal_part;
+    event::timer return_timer;
     /// Last member, so that it is destroyed first: its requests use the others.
     raw_server server;
 };
--- a/tests/fakes/gateway_world/raw_server.cpp
+++ b/tests/fakes/gateway_world/raw_server.cpp
@@ -231,14 +231,18 @@
 };
 
 raw_server::raw_server(event::loop& loop, handler handle_request)
-    : event_loop(loop),
-      on_request(std::move(handle_request)),
-      open_listener(new listener())
+    : event_loop(loop), on_request(std::move(handle_request))
 {
+    this->listen();
+}
+
+auto raw_server::listen() -> void
+{
+    this->open_listener = new listener();
     this->open_listener->server = this;
-    uv_tcp_init(loop.native(), &this->open_listener->handle);
+    uv_tcp_init(this->event_loop.native(), &this->open_listener->handle);
     this->open_listener->handle.data = this->open_listener;
-    const auto loopback = event::to_socket_address({"127.0.0.1", 0}).value();
+    const auto loopback = event::to_socket_address(this->address()).value();
     uv_tcp_bind(&this->open_listener->handle, event::as_sockaddr(loopback), 0);
     uv_listen(this->open_listener->stream(), accept_backlog,
               [](uv_stream_t* stream, int status) {
--- a/tests/fakes/gateway_world/raw_server.h
+++ b/tests/fakes/gateway_world/raw_server.h
@@ -73,6 +73,9 @@
     /// Closes every connection and the listener.
     auto close() -> void;
 
+    /// Listens, after close() at the same address.
+    auto listen() -> void;
+
 private:
     struct listener;
     auto on_accept(std::shared_ptr<event::tcp_stream> stream, int descriptor)
@@ -80,7 +83,7 @@
 
     event::loop& event_loop;
     handler on_request;
-    listener* open_listener;
+    listener* open_listener = nullptr;
     std::uint16_t port = 0;
     std::set<std::shared_ptr<raw_connection>> connections;
 };
