Keep a pending placement when its request is announced

A request whose silent attempt is being replaced could wait until its deadline.

Cause: an owner that is asked for another upstream may be announced the attempt that goes on, because it has just become the owner. The announcement ended the pending placement, and its answer was never given.

--- a/src/services/gateway/placement_dispatcher.cpp
+++ b/src/services/gateway/placement_dispatcher.cpp
@@ -104,6 +104,14 @@
     const auto& request = message.request.request;
     const auto earlier = this->find(message.service, request);
     if (earlier != this->owned_shards.end()) {
+        auto& known = earlier->second->entries[request];
+        if (known.done && !message.placed_at.empty()) {
+            // Another upstream is being sought for the announced attempt.
+            auto accepted = dispatch::placement_outcome();
+            accepted.upstream.id = message.placed_at;
+            done(accepted);
+            return;
+        }
         // The upstream of an attempt that is retried before it has ended does
         // not respond.
         const auto is_silent =
--- a/tests/unit/gateway/dispatcher_test.cpp
+++ b/tests/unit/gateway/dispatcher_test.cpp
@@ -43,16 +43,21 @@
         return made;
     }
 
-    auto place(int number) -> dispatch::placement_outcome
+    auto make_message(int number) -> place_message
     {
-        auto outcome = std::optional<dispatch::placement_outcome>();
         auto message = place_message();
         message.service = serving::service_name("desk");
         message.request.request = core::request_id(std::to_string(number));
         message.request.due = this->loop.now() + core::milliseconds(300);
         message.request.deadline = this->loop.now() + core::milliseconds(3000);
+        return message;
+    }
+
+    auto place(int number) -> dispatch::placement_outcome
+    {
+        auto outcome = std::optional<dispatch::placement_outcome>();
         this->local.submit_placement(
-            message, core::node_id("n"),
+            this->make_message(number), core::node_id("n"),
             [&outcome](const auto& placed) { outcome = placed; });
         while (!outcome) {
             this->loop.run_once();
@@ -110,6 +115,27 @@
     EXPECT_TRUE(placed.contains(core::upstream_id("a")));
 }
 
+// A node announces its attempts to a new owner, also one that it has just asked
+// for another upstream for the same request.
+TEST_F(dispatcher_test, an_announced_attempt_does_not_end_a_pending_placement)
+{
+    auto outcome = std::optional<dispatch::placement_outcome>();
+    auto retry = this->make_message(1);
+    retry.request.is_retry = true;
+    this->local.submit_placement(
+        retry, core::node_id("n"),
+        [&outcome](const auto& placed) { outcome = placed; });
+    auto announced = this->make_message(1);
+    announced.placed_at = core::upstream_id("a");
+    this->local.submit_placement(announced, core::node_id("n"),
+                                 [](const auto&) {});
+    const auto end = this->loop.now() + std::chrono::seconds(3);
+    while (!outcome && this->loop.now() < end) {
+        this->loop.run_once();
+    }
+    EXPECT_TRUE(outcome);
+}
+
 TEST_F(dispatcher_test, a_stand_in_rejects_at_once_if_all_upstreams_are_limited)
 {
     this->state.set_limit(core::upstream_id("b"), {100.0, this->loop.now()});
