Stop starting stages whose run has ended

A route with two first stages, neither of which needs the other, could have its silent stream cut, or sent to two upstreams.

Cause: the loop that starts the stages of a request went on after the first of them had been rejected within the call. The rejection keeps the silent attempt and resets the stages, and the second stage was then started in the next run.

Why this works: the loop ends when the run of the stages has changed.

Evidence: a trial test of the reviewer (three stages, two of them first) cut the stream after 1,522 ms in 3 of 3 runs, and passed with this change, once. It relies on stage services of chosen speeds and is not taken over; no deployment of the users has such a route.

--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -176,8 +176,9 @@
         return;
     }
     const auto self = this->shared_from_this();
+    const auto current_run = this->stage_run;
     for (const auto stage : this->stages->start_ready()) {
-        if (this->is_finished) {
+        if (this->is_finished || this->stage_run != current_run) {
             return;
         }
         this->stage_numbers.push_back(this->shared.dispatch.run_stage(
