End the owner's record of a silent attempt that fails

An upstream would have got fewer and fewer requests.

Cause: a silent attempt that fails while the stages run again was dropped without a report, as its replacement was taken to be placed already. If the request then ended, the owner kept the record for as long as the node lived, and with it a slot of the upstream.

Why this works: the attempt is reported as failed unless a pending placement has replaced its record, and the end of a request ends whatever record is left.

--- a/src/services/gateway/request_end.cpp
+++ b/src/services/gateway/request_end.cpp
@@ -133,7 +133,10 @@
     if (this->placement_number != 0) {
         this->shared.dispatch.cancel(std::exchange(this->placement_number, 0));
     }
-    this->end_attempt(dispatch::attempt_end::cancelled);
+    this->upstream.reset();
+    // A record may remain although no attempt is open.
+    this->shared.dispatch.report_ended(this->service, this->request.id,
+                                       dispatch::attempt_end::cancelled);
     if (this->stages) {
         this->release(this->stages->reset());
     }
--- a/src/services/gateway/request_replacement.cpp
+++ b/src/services/gateway/request_replacement.cpp
@@ -50,6 +50,10 @@
 {
     this->is_replacing = false;
     this->head.reset();
+    if (this->placement_number == 0) {
+        this->end_attempt(dispatch::attempt_end::failed);
+    }
+    // A pending placement has ended the owner's record of this attempt.
     this->upstream.reset();
 }
 
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -230,6 +230,17 @@
         return record;
     }
 
+    /// Sends a request whose upstream pauses its stream.
+    auto begin_silent_stream(const std::string& path) -> const call_record&
+    {
+        this->set_model_mode(upstream_mode::pauses_streams);
+        const auto& record =
+            this->caller.call(this->nodes[0]->settings.front, path);
+        EXPECT_TRUE(this->world.run_until(
+            [this]() { return !this->world.journal.runs.empty(); }));
+        return record;
+    }
+
     auto expect_no_faults() -> void
     {
         EXPECT_EQ(this->caller.violations(), std::vector<std::string>());
@@ -416,6 +427,25 @@
     this->expect_no_faults();
 }
 
+// The owner must not count the attempt for ever if it fails while the stages of
+// the stream run again.
+TEST_F(whole_path_test, a_silent_attempt_that_fails_leaves_no_record)
+{
+    const auto& record = this->begin_silent_stream("staged_resumable");
+    const auto first = this->world.journal.runs.front().upstream;
+    for (const auto* id : {"feed-a", "feed-b"}) {
+        this->world.upstreams.at(id)->set_mode(upstream_mode::hangs);
+    }
+    this->world.run_for(core::milliseconds(1550));
+    EXPECT_FALSE(record.is_done);
+    this->world.upstreams.at(first)->crash();
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_requests_placed{service="
+                            "\"model\"}") == 0;
+    }));
+}
+
 TEST_F(whole_path_test, a_late_answer_is_kept_while_no_upstream_can_repeat_it)
 {
     this->world.upstreams["desk-a"]->set_mode(upstream_mode::answers_late);
