Return to a silent attempt if its replacement is not accepted

A silent attempt was cancelled when another upstream was granted. If that upstream was full or could not be reached, and the others as well, the stream was cut. Upstreams are full just when others are silent.

Why this works: the silent attempt is set aside when its request is sent to another upstream, and cancelled when that one has begun to answer or after 200 ms. If it rejects the request or fails before that, the silent attempt continues; if the silent upstream goes on first, the other attempt is cancelled. No request is at two upstreams for more than 200 ms.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -25,7 +25,7 @@
         return;
     }
     if (this->is_replacing) {
-        this->cancel_silent_attempt();
+        this->hold_silent_attempt();
     }
     this->upstream = granted;
     auto send_parameters = serving::upstream_send();
@@ -70,14 +70,24 @@
     }
     const auto self = this->shared_from_this();
     auto hooks = http1::pool_hooks();
-    hooks.on_head = [self](http1::response_head answer) {
-        self->on_head(std::move(answer));
+    const auto number = ++this->last_attempt_number;
+    this->attempt_number = number;
+    hooks.on_head = [self, number](http1::response_head answer) {
+        if (self->is_current(number)) {
+            self->on_head(std::move(answer));
+        }
     };
-    hooks.on_body = [self](std::string_view bytes) {
-        self->on_body(bytes);
+    hooks.on_body = [self, number](std::string_view bytes) {
+        if (self->is_current(number)) {
+            self->on_body(bytes);
+        }
     };
-    hooks.on_done = [self](std::error_code error, bool sent) {
-        self->on_done(error, sent);
+    hooks.on_done = [self, number](std::error_code error, bool sent) {
+        if (error && number != self->attempt_number) {
+            self->on_held_attempt_failed(number, error);
+        } else if (self->is_current(number)) {
+            self->on_done(error, sent);
+        }
     };
     if (this->attempts < this->route.max_attempts && this->is_retryable()) {
         const auto is_idempotent =
@@ -112,9 +122,12 @@
         this->on_attempt_failed(http1::http1_errc::unexpected_bytes, true);
         return;
     }
-    if (this->is_replacing) {
+    if (this->is_replacing && !this->verdict.not_run) {
         this->keep_silent_attempt();
     }
+    if (!this->verdict.not_run) {
+        this->cancel_held_attempt();
+    }
     this->head = std::move(answer);
     this->is_stream = is_success(this->verdict.status) &&
                       this->route.kind == serving::route_kind::streaming;
@@ -220,6 +233,10 @@
     }
     this->excluded.push_back(this->upstream->id);
     this->end_attempt(dispatch::attempt_end::rejected);
+    if (this->held) {
+        this->return_to_held_attempt();
+        return;
+    }
     if (this->verdict.status == conflict && this->stages) {
         this->excluded.clear();
         this->restart_stages();
@@ -278,7 +295,7 @@
 
 auto request_flow::on_attempt_failed(std::error_code error, bool sent) -> void
 {
-    this->log_broken_attempt(error, sent);
+    this->log_broken_attempt(this->last_upstream, error, sent);
     this->progress_timer.stop();
     this->head.reset();
     if (this->upstream && sent && this->events.event_count() == 0) {
@@ -294,6 +311,11 @@
         this->excluded.push_back(this->upstream->id);
     }
     this->end_attempt(dispatch::attempt_end::failed);
+    if (this->held) {
+        this->attempts -= sent ? 0 : 1;
+        this->return_to_held_attempt();
+        return;
+    }
     if (!sent) {
         --this->attempts;
         this->shared.metrics.count_retry("not_connected");
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -24,7 +24,8 @@
       accepted(context.event_loop.now()),
       deadline_timer(context.event_loop, [this]() { this->on_deadline(); }),
       progress_timer(context.event_loop,
-                     [this]() { this->on_progress_timeout(); })
+                     [this]() { this->on_progress_timeout(); }),
+      hold_timer(context.event_loop, [this]() { this->cancel_held_attempt(); })
 {
     this->priority = this->route.priority;
     if (workspace_config != nullptr) {
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -96,10 +96,21 @@
     /// Stops seeking another upstream, because the silent one has answered or
     /// because there is no other.
     auto keep_silent_attempt() -> void;
-    auto cancel_silent_attempt() -> void;
     /// The silent attempt has failed while another upstream is being sought.
     auto drop_silent_attempt() -> void;
-    auto log_broken_attempt(std::error_code error, bool sent) -> void;
+    /// Sets the silent attempt aside until its replacement has begun to answer.
+    auto hold_silent_attempt() -> void;
+    /// Cancels the attempt that was set aside.
+    auto cancel_held_attempt() -> void;
+    /// Continues the attempt that was set aside, in place of its replacement.
+    auto return_to_held_attempt() -> void;
+    /// \return Whether the attempt \a number is the current one. Returns to the
+    ///         attempt that was set aside if it is that one.
+    auto is_current(std::uint64_t number) -> bool;
+    auto on_held_attempt_failed(std::uint64_t number, std::error_code error)
+        -> void;
+    auto log_broken_attempt(const core::upstream_id& broken,
+                            std::error_code error, bool sent) -> void;
     auto end_attempt(dispatch::attempt_end how) -> void;
 
     /// Ends the request before its answer is complete.
@@ -114,6 +125,20 @@
     auto finish(std::string_view event, severity level, std::string_view reason,
                 int status) -> void;
 
+    /// A silent attempt that was set aside.
+    struct held_attempt
+    {
+        std::uint64_t number = 0;
+        serving::upstream upstream;
+        core::time_point sent_at;
+        std::shared_ptr<http1::pooled_call> call;
+        std::optional<http1::response_head> head;
+        serving::upstream_verdict verdict;
+        std::string body;
+        std::string incomplete_event;
+        bool is_stream = false;
+    };
+
     flow_context& shared;
     serving::caller_request request;
     std::shared_ptr<http1::exchange> caller;
@@ -130,6 +155,7 @@
     core::time_point deadline;
     event::timer deadline_timer;
     event::timer progress_timer;
+    event::timer hold_timer;
     std::optional<stage_plan> stages;
     /// Numbers of the stage work for dispatch_client::cancel().
     std::vector<std::uint64_t> stage_numbers;
@@ -145,8 +171,12 @@
     /// When the request of the last attempt was sent.
     core::time_point sent_at;
     std::shared_ptr<http1::pooled_call> call;
+    /// Distinguishes the current attempt from one that was set aside.
+    std::uint64_t attempt_number = 0;
+    std::uint64_t last_attempt_number = 0;
     /// Whether another upstream is sought while the silent attempt is open.
     bool is_replacing = false;
+    std::optional<held_attempt> held;
     std::vector<core::upstream_id> excluded;
     /// Attempts that may have run.
     int attempts = 0;
--- a/src/services/gateway/request_replacement.cpp
+++ b/src/services/gateway/request_replacement.cpp
@@ -5,6 +5,13 @@
 
 namespace almondtiller::gateway {
 
+namespace {
+
+/// Longest time for which a request may be at two upstreams.
+constexpr auto max_hold_time = core::milliseconds(200);
+
+} // namespace
+
 auto request_flow::on_progress_timeout() -> void
 {
     if (this->is_finished || !this->call || !this->may_retry()) {
@@ -39,13 +46,6 @@
     }
 }
 
-auto request_flow::cancel_silent_attempt() -> void
-{
-    this->log_broken_attempt(http1::http1_errc::timed_out, true);
-    std::exchange(this->call, nullptr)->cancel();
-    this->drop_silent_attempt();
-}
-
 auto request_flow::drop_silent_attempt() -> void
 {
     this->is_replacing = false;
@@ -57,12 +57,90 @@
     this->upstream.reset();
 }
 
-auto request_flow::log_broken_attempt(std::error_code error, bool sent) -> void
+auto request_flow::hold_silent_attempt() -> void
+{
+    this->is_replacing = false;
+    this->held = held_attempt{this->attempt_number,
+                              *this->upstream,
+                              this->sent_at,
+                              std::exchange(this->call, nullptr),
+                              std::exchange(this->head, std::nullopt),
+                              this->verdict,
+                              std::exchange(this->body, {}),
+                              this->events.incomplete_event(),
+                              this->is_stream};
+    this->hold_timer.start(max_hold_time);
+}
+
+auto request_flow::cancel_held_attempt() -> void
+{
+    this->hold_timer.stop();
+    if (this->held) {
+        const auto silent = std::exchange(this->held, std::nullopt);
+        silent->call->cancel();
+        this->log_broken_attempt(silent->upstream.id,
+                                 http1::http1_errc::timed_out, true);
+    }
+}
+
+auto request_flow::return_to_held_attempt() -> void
+{
+    this->hold_timer.stop();
+    if (this->call) {
+        std::exchange(this->call, nullptr)->cancel();
+    }
+    this->end_attempt(dispatch::attempt_end::cancelled);
+    auto silent = *std::exchange(this->held, std::nullopt);
+    this->attempt_number = silent.number;
+    this->upstream = silent.upstream;
+    this->last_upstream = silent.upstream.id;
+    this->sent_at = silent.sent_at;
+    this->call = std::move(silent.call);
+    this->head = std::move(silent.head);
+    this->verdict = silent.verdict;
+    this->body = std::move(silent.body);
+    this->is_stream = silent.is_stream;
+    this->events.discard_incomplete_event();
+    static_cast<void>(this->events.feed(silent.incomplete_event));
+    if (this->stages && this->caller->is_started()) {
+        this->reset_stages();
+    }
+    this->shared.log.write(severity::notice, "attempt_continued",
+                           {{"request", this->request.id.str()},
+                            {"upstream", silent.upstream.id.str()},
+                            {"elapsed_ms", this->elapsed_ms()}});
+    if (this->may_retry()) {
+        this->progress_timer.start(event_timeout);
+    } else {
+        this->progress_timer.stop();
+    }
+}
+
+auto request_flow::is_current(std::uint64_t number) -> bool
+{
+    if (this->held && this->held->number == number) {
+        this->return_to_held_attempt();
+    }
+    return number == this->attempt_number;
+}
+
+auto request_flow::on_held_attempt_failed(std::uint64_t number,
+                                          std::error_code error) -> void
+{
+    if (this->held && this->held->number == number) {
+        this->hold_timer.stop();
+        const auto failed = std::exchange(this->held, std::nullopt);
+        this->log_broken_attempt(failed->upstream.id, error, true);
+    }
+}
+
+auto request_flow::log_broken_attempt(const core::upstream_id& broken,
+                                      std::error_code error, bool sent) -> void
 {
     this->shared.log.write(
         severity::failure, "attempt_broken",
         {{"request", this->request.id.str()},
-         {"upstream", this->upstream ? this->upstream->id.str() : ""},
+         {"upstream", broken.str()},
          {"error", error.message()},
          {"sent", sent ? "yes" : "no"},
          {"events", std::to_string(this->events.event_count())},
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -241,6 +241,19 @@
         return record;
     }
 
+    /// \return The model engines that did not run the first request.
+    auto other_models() -> std::vector<gateway_world::fake_upstream*>
+    {
+        auto others = std::vector<gateway_world::fake_upstream*>();
+        for (const auto& [id, upstream] : this->world.upstreams) {
+            if (upstream->service() == "model" &&
+                id != this->world.journal.runs.front().upstream) {
+                others.push_back(upstream.get());
+            }
+        }
+        return others;
+    }
+
     auto expect_no_faults() -> void
     {
         EXPECT_EQ(this->caller.violations(), std::vector<std::string>());
@@ -401,6 +414,7 @@
             this->world.register_upstream(*upstream, "draining");
         }
     }
+    this->wait_for_upstreams("model", 1);
     ASSERT_TRUE(this->caller.wait(record));
     EXPECT_EQ(record.status, 200);
     EXPECT_TRUE(record.is_complete);
@@ -427,6 +441,43 @@
     this->expect_no_faults();
 }
 
+// A granted upstream may turn out not to accept the stream.
+TEST_F(whole_path_test,
+       a_silent_stream_is_kept_if_no_other_upstream_is_reachable)
+{
+    const auto& record = this->begin_silent_stream("resumable");
+    for (auto* other : this->other_models()) {
+        other->crash();
+    }
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_TRUE(record.is_complete) << record.body;
+    this->expect_no_faults();
+}
+
+TEST_F(whole_path_test, a_silent_stream_is_kept_if_all_other_upstreams_are_full)
+{
+    const auto& record = this->begin_silent_stream("resumable");
+    for (auto* other : this->other_models()) {
+        other->set_mode(upstream_mode::rejects_all);
+    }
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_TRUE(record.is_complete) << record.body;
+    this->expect_no_faults();
+}
+
+// The silent upstream goes on before the other one has begun to answer.
+TEST_F(whole_path_test, a_silent_stream_continues_in_place_of_its_replacement)
+{
+    const auto& record = this->begin_silent_stream("resumable");
+    for (auto* other : this->other_models()) {
+        other->set_mode(upstream_mode::hangs);
+    }
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_TRUE(record.is_complete) << record.body;
+    EXPECT_EQ(this->world.journal.runs.size(), 2U);
+    this->expect_no_faults();
+}
+
 // The owner must not count the attempt for ever if it fails while the stages of
 // the stream run again.
 TEST_F(whole_path_test, a_silent_attempt_that_fails_leaves_no_record)
