Play pauses, unframed answers and staged resumptions in the soak

The route staged_resumable is called as often as the others. - Each upstream without a proxy marks the end of its answers with chunks, a length or its connection. Proxies discard bytes in the middle of a connection, so that such an answer through them would look complete. - New faults: a model engine ends streams within an event, resets them after one, or fails requests that resume a stream. - Requests are spread over 40 sessions in both tests, because one session stays at one model engine. - stream_check: no stream is broken off while its node, the upstreams that it reached, the services of its stages and the links to its services are undisturbed and its deadline is far. Faults of the store and of other nodes are no excuse.

--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -97,8 +97,9 @@
     hooks.on_body = [&record](std::string_view bytes) {
         record.body += bytes;
     };
-    hooks.on_done = [&record](std::error_code error, bool) {
+    hooks.on_done = [this, &record](std::error_code error, bool) {
         record.is_done = true;
+        record.ended = this->environment.clock.now();
         record.is_complete = !error;
     };
     auto options = http1::call_options();
--- a/tests/fakes/gateway_world/world_caller.h
+++ b/tests/fakes/gateway_world/world_caller.h
@@ -18,6 +18,8 @@
     std::string path;
     core::time_point sent;
     bool is_done = false;
+    /// When the answer or its connection ended.
+    core::time_point ended;
     /// HTTP status; 0 if there was no answer.
     int status = 0;
     std::string body;
--- a/tests/fault/soak/soak_test.cpp
+++ b/tests/fault/soak/soak_test.cpp
@@ -1,6 +1,7 @@
 #include "core/random.h"
 #include "limit_check.h"
 #include "soak_fleet.h"
+#include "stream_check.h"
 
 #include <gtest/gtest.h>
 
@@ -17,6 +18,7 @@
 namespace almondtiller::soak {
 namespace {
 
+using gateway_world::answer_framing;
 using gateway_world::store_mode;
 using gateway_world::upstream_mode;
 
@@ -25,6 +27,8 @@
 constexpr auto request_interval = core::milliseconds(15);
 /// All faults are over: every node serves every kind again within that time.
 constexpr auto recovery_bound = core::milliseconds(12000);
+/// Faults end at most this long after their planned end.
+constexpr auto latest_restore = core::milliseconds(500);
 /// A request limit binds this long after an upstream has first stated it.
 constexpr auto limit_notice = core::milliseconds(3000);
 
@@ -33,6 +37,9 @@
 const auto regression_seeds = std::vector<std::uint64_t>{1, 2, 3, 16};
 const auto limit_seeds = std::vector<std::uint64_t>{101, 102};
 
+const auto paths = std::vector<std::string>{
+    "staged", "staged_resumable", "stream", "resumable", "read", "book"};
+
 auto seeds(const std::vector<std::uint64_t>& usual)
     -> std::vector<std::uint64_t>
 {
@@ -69,11 +76,12 @@
                 core::to_text(this->proxies[name]->address()));
             this->world.register_upstream(upstream, "ready");
         }
-        if (!this->limits.empty()) {
-            // One session would stay at one model engine.
-            constexpr auto sessions = 40;
-            this->caller.set_sessions(sessions);
+        for (const auto& [name, upstream] : this->world.upstreams) {
+            this->set_any_framing(*upstream);
         }
+        // One session would stay at one model engine.
+        constexpr auto sessions = 40;
+        this->caller.set_sessions(sessions);
         for (const auto& [name, per_second] : this->limits) {
             this->world.upstreams.at(name)->set_request_limit(
                 std::to_string(per_second));
@@ -96,6 +104,10 @@
         const auto end = this->world.clock.now() + soak_time;
         while (this->world.clock.now() < end) {
             this->inject_fault();
+            constexpr auto faults_per_pause = 4;
+            if (this->random.below(faults_per_pause) == 0) {
+                this->pause_streams();
+            }
             this->world.run_for(
                 core::milliseconds(80 + this->random.below(350)));
             this->run_due();
@@ -117,6 +129,11 @@
     {
         return this->caller.records().size();
     }
+    /// \return Streams that no fault has disturbed.
+    [[nodiscard]] auto undisturbed_streams() const -> std::size_t
+    {
+        return this->stream_checks.undisturbed(this->world.journal);
+    }
     [[nodiscard]] auto log_folder() const -> const std::string&
     {
         return this->folder;
@@ -141,8 +158,6 @@
 
     auto send_request() -> void
     {
-        static const auto paths = std::vector<std::string>{
-            "staged", "stream", "resumable", "read", "book"};
         auto& node = *this->nodes[this->random.below(node_count)];
         if (!node.is_running()) {
             return;
@@ -151,6 +166,9 @@
         const auto& record = this->caller.call(
             node.front(), paths[this->random.below(paths.size())], key);
         this->limit_checks.on_request(record.id, &node);
+        if (record.path != "read" && record.path != "book") {
+            this->stream_checks.on_request(record, &node);
+        }
         this->sent.push_back({&record, &node, key, node.incarnation(),
                               node.seen_keys.contains(key)});
         this->check_keys();
@@ -206,7 +224,8 @@
             &soak_run::stop_node,          &soak_run::disturb_store,
             &soak_run::disturb_store_link, &soak_run::disturb_upstream_link,
             &soak_run::disturb_upstream,   &soak_run::replace_upstream,
-            &soak_run::change_config,      &soak_run::evacuate_zone};
+            &soak_run::change_config,      &soak_run::evacuate_zone,
+            &soak_run::break_streams};
         (this->*faults[this->random.below(faults.size())])();
     }
 
@@ -218,7 +237,7 @@
     auto restart(node_process& node) -> void
     {
         if (!node.is_running()) {
-            this->excuse(node, core::milliseconds(0));
+            this->disturb(node, core::milliseconds(0));
             node.start();
         }
     }
@@ -229,12 +248,32 @@
         this->limit_checks.excuse(&node, now, now + time);
     }
 
+    auto disturb(const node_process& node, core::milliseconds time) -> void
+    {
+        const auto now = this->world.clock.now();
+        this->excuse(node, time);
+        this->stream_checks.disturb_node(&node, now,
+                                         now + time + latest_restore);
+    }
+
+    auto disturb(const gateway_world::fake_upstream& upstream,
+                 core::milliseconds time) -> void
+    {
+        const auto now = this->world.clock.now();
+        const auto end = now + time + latest_restore;
+        if (upstream.service() == "model") {
+            this->stream_checks.disturb_upstream(upstream.id(), now, end);
+        } else {
+            this->stream_checks.disturb_service(upstream.service(), now, end);
+        }
+    }
+
     auto kill_node() -> void
     {
         auto& node = this->any_node();
         node.kill();
         const auto time = this->duration();
-        this->excuse(node, time);
+        this->disturb(node, time);
         this->later(time, [this, &node]() { this->restart(node); });
     }
 
@@ -243,7 +282,7 @@
         auto& node = this->any_node();
         node.signal(SIGSTOP);
         const auto time = this->duration();
-        this->excuse(node, time);
+        this->disturb(node, time);
         this->later(time, [&node]() { node.signal(SIGCONT); });
     }
 
@@ -252,7 +291,7 @@
         auto& node = this->any_node();
         constexpr auto stop_time = core::milliseconds(4200);
         node.signal(SIGTERM);
-        this->excuse(node, stop_time);
+        this->disturb(node, stop_time);
         this->later(stop_time, [this, &node]() {
             node.kill();
             this->restart(node);
@@ -307,7 +346,12 @@
     {
         auto chosen = this->proxies.begin();
         std::advance(chosen, this->random.below(this->proxies.size()));
-        this->disturb(*chosen->second);
+        const auto& service =
+            this->world.upstreams.at(chosen->first)->service();
+        const auto now = this->world.clock.now();
+        const auto time = this->disturb(*chosen->second);
+        this->stream_checks.disturb_service(service, now,
+                                            now + time + latest_restore);
     }
 
     auto any_upstream() -> gateway_world::fake_upstream&
@@ -323,26 +367,90 @@
             upstream_mode::hangs, upstream_mode::aborts_answers,
             upstream_mode::rejects_all};
         auto& upstream = this->any_upstream();
+        const auto mode = modes[this->random.below(modes.size())];
+        this->disturb(upstream, this->set_mode(upstream, mode));
+    }
+
+    auto break_streams() -> void
+    {
+        static const auto modes =
+            std::array{upstream_mode::aborts_between_events,
+                       upstream_mode::ends_within_event,
+                       upstream_mode::fails_resumed_streams};
+        const auto models = this->models();
+        auto& upstream = *models[this->random.below(models.size())];
+        const auto mode = modes[this->random.below(modes.size())];
+        this->disturb(upstream, this->set_mode(upstream, mode));
+    }
+
+    auto models() -> std::vector<gateway_world::fake_upstream*>
+    {
+        auto found = std::vector<gateway_world::fake_upstream*>();
+        for (const auto& [id, upstream] : this->world.upstreams) {
+            if (upstream->service() == "model") {
+                found.push_back(upstream.get());
+            }
+        }
+        return found;
+    }
+
+    /// \return How long the mode lasts.
+    auto set_mode(gateway_world::fake_upstream& upstream, upstream_mode mode)
+        -> core::milliseconds
+    {
         const auto id = upstream.id();
-        upstream.set_mode(modes[this->random.below(modes.size())]);
-        this->later(this->duration(), [this, id]() {
+        const auto time = this->duration();
+        upstream.set_mode(mode);
+        this->later(time, [this, id]() {
             const auto found = this->world.upstreams.find(id);
             if (found != this->world.upstreams.end()) {
                 found->second->set_mode(upstream_mode::works);
             }
         });
+        return time;
+    }
+
+    /// A sound upstream may be silent in the middle of a stream and go on.
+    auto pause_streams() -> void
+    {
+        for (auto* upstream : this->models()) {
+            if (!this->is_proxied(*upstream)) {
+                this->set_mode(*upstream, upstream_mode::pauses_streams);
+            }
+        }
+    }
+
+    auto set_any_framing(gateway_world::fake_upstream& upstream) -> void
+    {
+        static const auto framings =
+            std::array{answer_framing::chunks, answer_framing::length,
+                       answer_framing::connection};
+        const auto framing = framings[this->random.below(framings.size())];
+        if (!this->is_proxied(upstream)) {
+            upstream.set_framing(framing);
+        }
+    }
+
+    /// Proxies discard bytes in the middle of a connection, as TCP never does,
+    /// so that streams through them always have chunks and no long pauses.
+    [[nodiscard]] auto
+    is_proxied(const gateway_world::fake_upstream& upstream) const -> bool
+    {
+        return this->proxies.contains(upstream.id());
     }
 
     auto replace_upstream() -> void
     {
         const auto& old = this->any_upstream();
         const auto id = old.id();
-        if (this->proxies.contains(id)) {
+        if (this->is_proxied(old)) {
             return;
         }
+        this->disturb(old, core::milliseconds(0));
         const auto service = old.service();
         const auto zone = old.zone();
-        this->world.add_upstream(id + "x", service, zone);
+        this->set_any_framing(
+            this->world.add_upstream(id + "x", service, zone));
         this->world.crash_upstream(id);
     }
 
@@ -381,8 +489,7 @@
     {
         const auto end = this->world.clock.now() + recovery_bound;
         for (auto& node : this->nodes) {
-            for (const auto* path :
-                 {"staged", "stream", "resumable", "read", "book"}) {
+            for (const auto& path : paths) {
                 auto is_served = false;
                 while (!is_served && this->world.clock.now() < end) {
                     this->restart(*node);
@@ -398,8 +505,7 @@
                     }
                 }
                 if (!is_served) {
-                    this->found.push_back(std::string("not served again: ") +
-                                          path + " at " +
+                    this->found.push_back("not served again: " + path + " at " +
                                           core::to_text(node->front()));
                 }
             }
@@ -446,6 +552,9 @@
         const auto over_limit = this->limit_checks.violations(
             this->world.journal, this->limits, this->limits_bind_from);
         all.insert(all.end(), over_limit.begin(), over_limit.end());
+        const auto broken_streams =
+            this->stream_checks.violations(this->world.journal);
+        all.insert(all.end(), broken_streams.begin(), broken_streams.end());
         return all;
     }
 
@@ -455,6 +564,7 @@
     std::map<std::string, double> limits;
     core::time_point limits_bind_from;
     limit_check limit_checks;
+    stream_check stream_checks;
     std::string folder;
     std::map<std::string, std::unique_ptr<proxy_process>> proxies;
     std::vector<std::unique_ptr<node_process>> nodes;
@@ -473,7 +583,9 @@
         << "seed " << seed << ", logs in " << run.log_folder();
     EXPECT_GT(run.successes(), run.requests() / 4) << "seed " << seed;
     std::cout << "seed " << seed << ": " << run.successes() << " of "
-              << run.requests() << " requests served" << std::endl;
+              << run.requests() << " requests served, "
+              << run.undisturbed_streams() << " undisturbed streams"
+              << std::endl;
     if (faults.empty()) {
         std::filesystem::remove_all(run.log_folder());
     }
