Judge a replacement by its answer and seek the next one at once

Cause: when a replacement rejected the request, the silent attempt was waited for again before another upstream was sought. And any head of an answer counted as its begin: an error of the replacement cancelled the attempt that was set aside, and an error of that one cancelled a sound replacement.

Why this works: after a failed replacement the next one is sought at once, as often as rejections are retried, while the silent attempt stays open. An error answer, or one that says not run, ends the attempt that gave it and no other.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -73,7 +73,8 @@
     const auto number = ++this->last_attempt_number;
     this->attempt_number = number;
     hooks.on_head = [self, number](http1::response_head answer) {
-        if (self->is_current(number)) {
+        if (!self->is_failure_of_held(number, answer) &&
+            self->is_current(number)) {
             self->on_head(std::move(answer));
         }
     };
@@ -125,7 +126,7 @@
     if (this->is_replacing && !this->verdict.not_run) {
         this->keep_silent_attempt();
     }
-    if (!this->verdict.not_run) {
+    if (!is_failure(this->verdict)) {
         this->cancel_held_attempt();
     }
     this->head = std::move(answer);
@@ -234,7 +235,7 @@
     this->excluded.push_back(this->upstream->id);
     this->end_attempt(dispatch::attempt_end::rejected);
     if (this->held) {
-        this->return_to_held_attempt();
+        this->on_replacement_failed();
         return;
     }
     if (this->verdict.status == conflict && this->stages) {
@@ -261,9 +262,14 @@
         return;
     }
     const auto status = this->verdict.status;
-    constexpr auto first_server_error = 500;
+    if (this->held && is_failure(this->verdict)) {
+        this->excluded.push_back(this->upstream->id);
+        this->end_attempt(dispatch::attempt_end::completed);
+        this->on_replacement_failed();
+        return;
+    }
     if (this->upstream) {
-        if (status >= first_server_error && this->may_retry()) {
+        if (is_failure(this->verdict) && this->may_retry()) {
             this->excluded.push_back(this->upstream->id);
             this->end_attempt(dispatch::attempt_end::completed);
             this->shared.metrics.count_retry("upstream_error");
@@ -313,7 +319,7 @@
     this->end_attempt(dispatch::attempt_end::failed);
     if (this->held) {
         this->attempts -= sent ? 0 : 1;
-        this->return_to_held_attempt();
+        this->on_replacement_failed();
         return;
     }
     if (!sent) {
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -18,6 +18,14 @@
 
 namespace almondtiller::gateway {
 
+/// \return Whether an answer is none that the caller should get while another
+///         upstream may still serve the request.
+inline auto is_failure(const serving::upstream_verdict& verdict) -> bool
+{
+    constexpr auto first_server_error = 500;
+    return verdict.not_run || verdict.status >= first_server_error;
+}
+
 /// Dependencies shared by all requests of a node.
 struct flow_context
 {
@@ -104,6 +112,12 @@
     auto cancel_held_attempt() -> void;
     /// Continues the attempt that was set aside, in place of its replacement.
     auto return_to_held_attempt() -> void;
+    /// The replacement of the attempt that was set aside has failed.
+    auto on_replacement_failed() -> void;
+    /// \return Whether \a answer is an error answer of the attempt that was set
+    ///         aside, which ends that attempt.
+    auto is_failure_of_held(std::uint64_t number,
+                            const http1::response_head& answer) -> bool;
     /// \return Whether the attempt \a number is the current one. Returns to the
     ///         attempt that was set aside if it is that one.
     auto is_current(std::uint64_t number) -> bool;
--- a/src/services/gateway/request_replacement.cpp
+++ b/src/services/gateway/request_replacement.cpp
@@ -30,6 +30,17 @@
     this->place(true);
 }
 
+auto request_flow::on_replacement_failed() -> void
+{
+    this->return_to_held_attempt();
+    if (this->may_retry() && this->rejections <= max_retried_rejections) {
+        this->is_replacing = true;
+        this->place(true);
+    } else {
+        this->keep_silent_attempt();
+    }
+}
+
 auto request_flow::keep_silent_attempt() -> void
 {
     this->is_replacing = false;
@@ -60,6 +71,7 @@
 auto request_flow::hold_silent_attempt() -> void
 {
     this->is_replacing = false;
+    this->cancel_held_attempt();
     this->held = held_attempt{this->attempt_number,
                               *this->upstream,
                               this->sent_at,
@@ -102,28 +114,34 @@
     this->is_stream = silent.is_stream;
     this->events.discard_incomplete_event();
     static_cast<void>(this->events.feed(silent.incomplete_event));
-    if (this->stages && this->caller->is_started()) {
-        this->reset_stages();
-    }
+    this->progress_timer.stop();
     this->shared.log.write(severity::notice, "attempt_continued",
                            {{"request", this->request.id.str()},
                             {"upstream", silent.upstream.id.str()},
                             {"elapsed_ms", this->elapsed_ms()}});
-    if (this->may_retry()) {
-        this->progress_timer.start(event_timeout);
-    } else {
-        this->progress_timer.stop();
-    }
 }
 
 auto request_flow::is_current(std::uint64_t number) -> bool
 {
     if (this->held && this->held->number == number) {
         this->return_to_held_attempt();
+        this->keep_silent_attempt();
     }
     return number == this->attempt_number;
 }
 
+auto request_flow::is_failure_of_held(std::uint64_t number,
+                                      const http1::response_head& answer)
+    -> bool
+{
+    if (!this->held || this->held->number != number ||
+        !is_failure(adapter::decode_verdict(answer))) {
+        return false;
+    }
+    this->cancel_held_attempt();
+    return true;
+}
+
 auto request_flow::on_held_attempt_failed(std::uint64_t number,
                                           std::error_code error) -> void
 {
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -478,6 +478,44 @@
     this->expect_no_faults();
 }
 
+TEST_F(whole_path_test, a_silent_stream_is_kept_if_all_other_upstreams_fail)
+{
+    const auto& record = this->begin_silent_stream("resumable");
+    for (auto* other : this->other_models()) {
+        other->set_mode(upstream_mode::fails_resumed_streams);
+    }
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_TRUE(record.is_complete) << record.body;
+    this->expect_no_faults();
+}
+
+// A full upstream must not delay the search until the next timeout.
+TEST_F(whole_path_test, another_upstream_is_sought_at_once_after_a_rejection)
+{
+    this->world.add_upstream("desk-c", "desk", "a");
+    this->wait_for_upstreams("desk", 3);
+    for (const auto* id : {"desk-a", "desk-b", "desk-c"}) {
+        this->world.upstreams[id]->set_mode(upstream_mode::answers_late);
+    }
+    const auto& record =
+        this->caller.call(this->nodes[0]->settings.front, "read");
+    const auto set_others = [this](upstream_mode mode) {
+        for (const auto* id : {"desk-a", "desk-b", "desk-c"}) {
+            if (id != this->world.journal.arrivals.front().upstream) {
+                this->world.upstreams[id]->set_mode(mode);
+            }
+        }
+    };
+    const auto& arrivals = this->world.journal.arrivals;
+    ASSERT_TRUE(this->world.run_until([&]() { return arrivals.size() == 1; }));
+    set_others(upstream_mode::rejects_all);
+    ASSERT_TRUE(this->world.run_until([&]() { return arrivals.size() == 2; }));
+    set_others(upstream_mode::works);
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_EQ(record.status, 200);
+    EXPECT_LT(record.ended - record.sent, gateway_world::silence);
+}
+
 // The owner must not count the attempt for ever if it fails while the stages of
 // the stream run again.
 TEST_F(whole_path_test, a_silent_attempt_that_fails_leaves_no_record)
