Count only good answers as evidence for a prompt part

While upstreams answer errors for another reason, a prompt part that crashes them could have been released from its quarantine, or never have got into it.

Cause: an error answer counted as the begin of an answer, which shows that no part of the prompt crashes upstreams.

Evidence: by reading; the tests of the quarantine pass as before. No test plays errors beside such a part.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -212,7 +212,7 @@
         if (this->is_replacing) {
             this->keep_silent_attempt();
         }
-        if (!this->is_stream) {
+        if (!this->is_stream && is_success(this->verdict.status)) {
             this->shared.crashes.on_answer_begun(this->request.prompt);
         }
         this->on_answer();
