Log why the removal of an upstream is doubted

`upstream_removed` names the revision of the removal and the time since the last failed read, and `upstreams_listed` the same for a complete list, of which no line told so far which removals were doubted. No logic changes.

--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -152,6 +152,15 @@
            this->event_loop.now() - failed > untrusted_removal_period;
 }
 
+auto store_follower::since_store_failure() const -> std::string
+{
+    const auto failed = this->mirrors[index_of(adapter::object_kind::upstreams)]
+                            ->last_failure();
+    return failed == core::time_point()
+               ? "none"
+               : ms_text(this->event_loop.now() - failed);
+}
+
 auto store_follower::revisions() const -> std::vector<std::int64_t>
 {
     auto numbers = std::vector<std::int64_t>();
@@ -259,7 +268,10 @@
             is_changed;
         this->log.write(
             severity::notice, "upstream_removed",
-            {{"upstream", id.str()}, {"trusted", trusted ? "yes" : "no"}});
+            {{"upstream", id.str()},
+             {"revision", std::to_string(change.object.revision)},
+             {"trusted", trusted ? "yes" : "no"},
+             {"since_store_failure_ms", this->since_store_failure()}});
     }
     if (is_changed) {
         this->notify_changed();
@@ -275,10 +287,16 @@
         listed.emplace(name);
         is_changed = this->apply_upstream(object) || is_changed;
     }
-    is_changed =
-        this->serving_state.apply_list(listed, this->are_removals_trusted(),
-                                       this->event_loop.now()) ||
-        is_changed;
+    const auto trusted = this->are_removals_trusted();
+    const auto known = this->serving_state.upstreams().size();
+    is_changed = this->serving_state.apply_list(listed, trusted,
+                                                this->event_loop.now()) ||
+                 is_changed;
+    this->log.write(severity::notice, "upstreams_listed",
+                    {{"listed", std::to_string(listed.size())},
+                     {"known_before", std::to_string(known)},
+                     {"trusted", trusted ? "yes" : "no"},
+                     {"since_store_failure_ms", this->since_store_failure()}});
     if (is_changed) {
         this->notify_changed();
     }
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -70,6 +70,9 @@
     auto next_watch_wait() -> core::milliseconds;
     auto on_store_failed() -> void;
     [[nodiscard]] auto are_removals_trusted() const -> bool;
+    /// \return The time in ms since the last failed read of upstreams, for log
+    ///         lines; "none" if none has failed.
+    [[nodiscard]] auto since_store_failure() const -> std::string;
     auto on_configuration() -> void;
     auto on_upstream_changes(const std::vector<adapter::object_change>& changes)
         -> void;
