End the doubt about removed upstreams with the store's outage

Cause: entries expire while the store is away, so a removal that is seen within 2.5 s of a failed read is doubted, and the upstream stays in use. It stayed for two seconds from the removal. The platform says that such entries reappear within two seconds of the store's return: an upstream that really left two seconds after the return got requests for two seconds more. Class of fault: a grace period that is counted from its observation, not from the event that grants it, so that each later event gets all of it.

Now the mirror knows when an outage ended, and a removed upstream is kept until two seconds after that, or after the removal while the outage lasts.

--- a/src/libs/dispatch/serving_state.cpp
+++ b/src/libs/dispatch/serving_state.cpp
@@ -72,28 +72,28 @@
     return true;
 }
 
-auto serving_state::remove(const core::upstream_id& id, bool is_trusted,
-                           core::time_point now) -> bool
+auto serving_state::remove(const core::upstream_id& id,
+                           std::optional<core::time_point> kept_until) -> bool
 {
     const auto found = this->known.find(id);
     if (found == this->known.end()) {
         return false;
     }
-    if (is_trusted || found->second.upstream.is_draining) {
+    if (!kept_until || found->second.upstream.is_draining) {
         this->known.erase(found);
         this->cached_counts.reset();
         return true;
     }
     if (!found->second.kept_until) {
-        found->second.kept_until = now + reappearance_period;
-        this->next_expiry =
-            std::min(this->next_expiry, now + reappearance_period);
+        found->second.kept_until = kept_until;
+        this->next_expiry = std::min(this->next_expiry, *kept_until);
     }
     return false;
 }
 
 auto serving_state::apply_list(const std::set<core::upstream_id>& listed,
-                               bool is_trusted, core::time_point now) -> bool
+                               std::optional<core::time_point> kept_until)
+    -> bool
 {
     auto missing = std::vector<core::upstream_id>();
     for (const auto& [id, entry] : this->known) {
@@ -103,7 +103,7 @@
     }
     auto changed = false;
     for (const auto& id : missing) {
-        changed = this->remove(id, is_trusted, now) || changed;
+        changed = this->remove(id, kept_until) || changed;
     }
     return changed;
 }
--- a/src/libs/dispatch/serving_state.h
+++ b/src/libs/dispatch/serving_state.h
@@ -49,8 +49,9 @@
 using upstream_source =
     std::function<std::vector<known_upstream>(const shard&)>;
 
-/// Time within which an entry that expired during an outage of the store may
-/// reappear afterwards, according to the documentation of the platform.
+/// Time after the end of an outage of the store within which an entry that
+/// expired during the outage may reappear, according to the documentation of
+/// the platform.
 constexpr auto reappearance_period = core::milliseconds(2000);
 
 /// A node's view of the configuration in force, the upstreams and the
@@ -68,15 +69,18 @@
                 std::int64_t heartbeat_number, core::time_point now) -> bool;
 
     /// An entry was removed from the store.
-    /// \param is_trusted False during an outage of the store or right after it,
-    ///        when entries expire although their upstreams are alive.
-    auto remove(const core::upstream_id& id, bool is_trusted,
-                core::time_point now) -> bool;
+    /// \param kept_until The time until which the upstream stays in use, during
+    ///        an outage of the store or right after it, when entries expire
+    ///        although their upstreams are alive; std::nullopt if the removal
+    ///        is trusted.
+    auto remove(const core::upstream_id& id,
+                std::optional<core::time_point> kept_until) -> bool;
 
     /// Applies a complete list of entries: known entries that are missing from
     /// it count as removed.
-    auto apply_list(const std::set<core::upstream_id>& listed, bool is_trusted,
-                    core::time_point now) -> bool;
+    /// \param kept_until As for remove().
+    auto apply_list(const std::set<core::upstream_id>& listed,
+                    std::optional<core::time_point> kept_until) -> bool;
 
     /// Drops entries that did not reappear in time, expired hold-offs, and the
     /// limits of upstreams that are gone.
--- a/src/services/gateway/follower_limits.h
+++ b/src/services/gateway/follower_limits.h
@@ -48,9 +48,6 @@
 /// A node sends a snapshot call to a peer to which it has no connection only if
 /// its connected peers have not provided the change within this time.
 inline constexpr auto unconnected_peer_delay = core::milliseconds(1000);
-/// Entries that are missing within this time after a failure of the store may
-/// reappear.
-inline constexpr auto untrusted_removal_period = core::milliseconds(2500);
 inline constexpr auto expiry_interval = core::milliseconds(200);
 inline constexpr auto announce_retry_delay = core::milliseconds(500);
 inline constexpr auto announce_timeout = core::milliseconds(2000);
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -143,13 +143,14 @@
     }
 }
 
-auto store_follower::are_removals_trusted() const -> bool
+auto store_follower::reappears_until() const -> std::optional<core::time_point>
 {
-    const auto& mirror =
-        *this->mirrors[index_of(adapter::object_kind::upstreams)];
-    const auto failed = mirror.last_failure();
-    return failed == core::time_point() ||
-           this->event_loop.now() - failed > untrusted_removal_period;
+    const auto outage =
+        this->mirrors[index_of(adapter::object_kind::upstreams)]->last_outage();
+    const auto until =
+        outage.value_or(core::time_point()) + dispatch::reappearance_period;
+    return outage && until > this->event_loop.now() ? std::optional(until)
+                                                    : std::nullopt;
 }
 
 auto store_follower::since_store_failure() const -> std::string
@@ -262,15 +263,13 @@
             continue;
         }
         const auto id = core::upstream_id(change.object.name);
-        const auto trusted = this->are_removals_trusted();
-        is_changed =
-            this->serving_state.remove(id, trusted, this->event_loop.now()) ||
-            is_changed;
+        const auto kept_until = this->reappears_until();
+        is_changed = this->serving_state.remove(id, kept_until) || is_changed;
         this->log.write(
             severity::notice, "upstream_removed",
             {{"upstream", id.str()},
              {"revision", std::to_string(change.object.revision)},
-             {"trusted", trusted ? "yes" : "no"},
+             {"trusted", kept_until ? "no" : "yes"},
              {"since_store_failure_ms", this->since_store_failure()}});
     }
     if (is_changed) {
@@ -287,15 +286,14 @@
         listed.emplace(name);
         is_changed = this->apply_upstream(object) || is_changed;
     }
-    const auto trusted = this->are_removals_trusted();
+    const auto kept_until = this->reappears_until();
     const auto known = this->serving_state.upstreams().size();
-    is_changed = this->serving_state.apply_list(listed, trusted,
-                                                this->event_loop.now()) ||
-                 is_changed;
+    is_changed =
+        this->serving_state.apply_list(listed, kept_until) || is_changed;
     this->log.write(severity::notice, "upstreams_listed",
                     {{"listed", std::to_string(listed.size())},
                      {"known_before", std::to_string(known)},
-                     {"trusted", trusted ? "yes" : "no"},
+                     {"trusted", kept_until ? "no" : "yes"},
                      {"since_store_failure_ms", this->since_store_failure()}});
     if (is_changed) {
         this->notify_changed();
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -69,7 +69,11 @@
     auto mirror(adapter::object_kind kind) -> store_mirror&;
     auto next_watch_wait() -> core::milliseconds;
     auto on_store_failed() -> void;
-    [[nodiscard]] auto are_removals_trusted() const -> bool;
+    /// \return The time until which the upstream of a removed entry stays in
+    ///         use, as the entry may have expired in an outage of the store;
+    ///         std::nullopt if the removal is trusted.
+    [[nodiscard]] auto reappears_until() const
+        -> std::optional<core::time_point>;
     /// \return The time in ms since the last failed read of upstreams, for log
     ///         lines; "none" if none has failed.
     [[nodiscard]] auto since_store_failure() const -> std::string;
--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -232,6 +232,7 @@
 {
     this->timeout_timer.stop();
     this->failed_at = this->event_loop.now();
+    this->outage_end = this->failed_at;
     this->must_probe = true;
     if (std::exchange(this->connected, false) || this->failures == 0) {
         this->log.write(severity::notice, "store_lost",
@@ -251,7 +252,9 @@
 
 auto store_mirror::succeed() -> void
 {
-    this->failures = 0;
+    if (std::exchange(this->failures, 0) > 0) {
+        this->outage_end = this->event_loop.now();
+    }
     if (!std::exchange(this->connected, true)) {
         this->log.write(severity::notice, "store_regained",
                         {{"kind", std::string(text_of(this->object_kind))},
@@ -312,6 +315,12 @@
     return this->failed_at;
 }
 
+auto store_mirror::last_outage() const -> std::optional<core::time_point>
+{
+    return this->follows && this->failures > 0 ? this->event_loop.now()
+                                               : this->outage_end;
+}
+
 auto store_mirror::calls_made() const -> std::uint64_t
 {
     return this->call_count;
--- a/src/services/gateway/store_mirror.h
+++ b/src/services/gateway/store_mirror.h
@@ -83,6 +83,10 @@
     /// \return When a call to the store last failed; the epoch if none did.
     [[nodiscard]] auto last_failure() const -> core::time_point;
 
+    /// \return When the store last failed to serve this node; the current time
+    ///         while it does not, std::nullopt if it always has.
+    [[nodiscard]] auto last_outage() const -> std::optional<core::time_point>;
+
     /// \return Calls to the store since the start.
     [[nodiscard]] auto calls_made() const -> std::uint64_t;
 
@@ -128,6 +132,8 @@
     bool must_probe = false;
     bool connected = false;
     core::time_point failed_at;
+    /// The last failed call, or the first that succeeded after it.
+    std::optional<core::time_point> outage_end;
     core::time_point call_started;
     int failures = 0;
     std::uint64_t call_count = 0;
--- a/tests/fakes/gateway_world/fake_store.cpp
+++ b/tests/fakes/gateway_world/fake_store.cpp
@@ -108,6 +108,13 @@
     }
 }
 
+auto fake_store::cut_watches() -> void
+{
+    for (const auto& waiting : std::exchange(this->watches, {})) {
+        waiting->exchange->abort();
+    }
+}
+
 auto fake_store::calls() const -> std::uint64_t
 {
     return this->call_count;
--- a/tests/fakes/gateway_world/fake_store.h
+++ b/tests/fakes/gateway_world/fake_store.h
@@ -61,6 +61,9 @@
     /// current revision, get 410.
     auto compact() -> void;
 
+    /// Closes the connections of all waiting watches without an answer.
+    auto cut_watches() -> void;
+
     [[nodiscard]] auto calls() const -> std::uint64_t;
 
 private:
--- a/tests/unit/dispatch/serving_state_test.cpp
+++ b/tests/unit/dispatch/serving_state_test.cpp
@@ -70,7 +70,7 @@
        entries_that_expire_in_an_outage_stay_for_two_seconds)
 {
     this->state.update(make_upstream("i"), 1, this->now);
-    EXPECT_FALSE(this->state.apply_list({}, false, this->now));
+    EXPECT_FALSE(this->state.apply_list({}, this->now + reappearance_period));
     EXPECT_TRUE(this->state.is_usable(this->id));
     this->state.expire(this->now + core::milliseconds(1900));
     EXPECT_TRUE(this->state.is_usable(this->id));
@@ -81,7 +81,7 @@
 TEST_F(serving_state_test, an_entry_that_reappears_in_time_stays)
 {
     this->state.update(make_upstream("i"), 1, this->now);
-    this->state.apply_list({}, false, this->now);
+    this->state.apply_list({}, this->now + reappearance_period);
     EXPECT_TRUE(this->state.update(make_upstream("i"), 1, this->now));
     EXPECT_FALSE(this->state.expire(this->now + std::chrono::seconds(9)));
     EXPECT_TRUE(this->state.is_usable(this->id));
@@ -90,7 +90,7 @@
 TEST_F(serving_state_test, drops_an_entry_at_once_if_the_removal_is_trusted)
 {
     this->state.update(make_upstream("i"), 1, this->now);
-    EXPECT_TRUE(this->state.remove(this->id, true, this->now));
+    EXPECT_TRUE(this->state.remove(this->id, std::nullopt));
     EXPECT_FALSE(this->state.is_usable(this->id));
 }
 
@@ -124,7 +124,7 @@
 {
     this->state.update(make_upstream("i"), 1, this->now);
     this->state.set_limit(this->id, {1.5, this->now});
-    this->state.remove(this->id, true, this->now);
+    this->state.remove(this->id, std::nullopt);
     this->state.expire(this->now + std::chrono::seconds(59));
     EXPECT_EQ(this->state.limits().size(), 1U);
     this->state.expire(this->now + std::chrono::seconds(60));
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -612,6 +612,26 @@
         [this]() { return this->send_request("book").status == 200; }));
 }
 
+// An entry that expired in an outage reappears within two seconds of its end,
+// no matter when its removal is seen.
+TEST_F(whole_path_test, sends_nothing_to_an_upstream_that_left_after_an_outage)
+{
+    this->world.store.set_mode(store_mode::busy);
+    this->world.store.cut_watches();
+    this->world.run_for(core::milliseconds(1500));
+    this->world.store.set_mode(store_mode::serves);
+    this->world.run_for(core::milliseconds(1900));
+    this->world.store.remove("servers", "desk-a");
+    this->world.run_for(core::milliseconds(1500));
+    const auto begin = this->world.clock.now();
+    for (auto round = 0; round < 4; ++round) {
+        for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+            EXPECT_EQ(this->send_request("book", at).status, 200);
+        }
+    }
+    EXPECT_EQ(this->arrivals_since(begin, "desk-a"), 0U);
+}
+
 TEST_F(whole_path_test, sends_nothing_to_an_upstream_during_its_retry_after)
 {
     for (const auto* name : {"desk-a", "feed-a", "model1-a"}) {
