Do not take a cut watch for an outage of the store

Cause: the end of the connection of a waiting watch counted as an outage, in which entries expire, although the next read succeeded 0.1 s later. Watches are cut at any time, also while the store serves everybody; a removal after such a cut was doubted like one after an outage.

A cut while the mirror is connected is checked by one more read. Only if that fails too has the store failed, as a store that is away answers neither.

--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -186,6 +186,10 @@
         this->read_store();
         return;
     }
+    if (status == failure_status && this->connected && !this->is_checking_cut) {
+        this->on_watch_cut();
+        return;
+    }
     if (error) {
         this->fail(status, "watch_refused");
         return;
@@ -202,6 +206,19 @@
     this->read_timer.start(is_changed ? this->pause : core::milliseconds(0));
 }
 
+auto store_mirror::on_watch_cut() -> void
+{
+    this->is_checking_cut = true;
+    this->must_probe = true;
+    this->log.write(severity::notice, "store_watch_cut",
+                    {{"kind", std::string(text_of(this->object_kind))},
+                     {"revision", std::to_string(this->current_revision)}});
+    if (this->callbacks.on_failed) {
+        this->callbacks.on_failed();
+    }
+    this->read_timer.start(min_backoff);
+}
+
 auto store_mirror::set_following(bool wanted) -> void
 {
     if (std::exchange(this->follows, wanted) == wanted) {
@@ -230,6 +247,7 @@
 
 auto store_mirror::fail(int status, std::string_view reason) -> void
 {
+    this->is_checking_cut = false;
     this->timeout_timer.stop();
     this->failed_at = this->event_loop.now();
     this->outage_end = this->failed_at;
@@ -252,6 +270,7 @@
 
 auto store_mirror::succeed() -> void
 {
+    this->is_checking_cut = false;
     if (std::exchange(this->failures, 0) > 0) {
         this->outage_end = this->event_loop.now();
     }
--- a/src/services/gateway/store_mirror.h
+++ b/src/services/gateway/store_mirror.h
@@ -101,6 +101,9 @@
     auto watch() -> void;
     auto on_watch_answer(int status, const std::string& body) -> void;
     auto fail(int status, std::string_view reason) -> void;
+    /// A connection to the store ended while a watch was waiting. That is no
+    /// outage unless the next call fails too.
+    auto on_watch_cut() -> void;
     auto succeed() -> void;
     auto log_unreadable_entries(std::size_t entries) -> void;
     auto apply(const adapter::object_changes& received) -> bool;
@@ -131,6 +134,7 @@
     /// The next watch does not wait: it checks whether the store answers.
     bool must_probe = false;
     bool connected = false;
+    bool is_checking_cut = false;
     core::time_point failed_at;
     /// The last failed call, or the first that succeeded after it.
     std::optional<core::time_point> outage_end;
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -612,6 +612,23 @@
         [this]() { return this->send_request("book").status == 200; }));
 }
 
+// A cut watch is no outage of the store, in which entries expire.
+TEST_F(whole_path_test,
+       sends_nothing_to_an_upstream_that_left_after_a_cut_watch)
+{
+    this->world.store.cut_watches();
+    this->world.run_for(core::milliseconds(1000));
+    this->world.store.remove("servers", "desk-a");
+    this->world.run_for(core::milliseconds(500));
+    const auto begin = this->world.clock.now();
+    for (auto round = 0; round < 4; ++round) {
+        for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+            EXPECT_EQ(this->send_request("book", at).status, 200);
+        }
+    }
+    EXPECT_EQ(this->arrivals_since(begin, "desk-a"), 0U);
+}
+
 // An entry that expired in an outage reappears within two seconds of its end,
 // no matter when its removal is seen.
 TEST_F(whole_path_test, sends_nothing_to_an_upstream_that_left_after_an_outage)
