Keep removed objects out of the mirror when an older answer arrives late

Cause: an object that is not in the mirror was taken from any change, older than the mirror or not. While the answer to a watch is under way, a peer can report newer changes, among them the removal of an object that the answer still has. The next watch starts after the removal, so the object stayed until the next complete list. Class of fault: a record of a removal is missing, and absence is taken for "never seen".

The mirror is complete up to its revision, so a change of a missing object at or below that revision is older than the removal and is ignored. This holds for all kinds of objects: evacuations and nodes returned in the same way.

--- a/src/services/gateway/store_mirror_changes.cpp
+++ b/src/services/gateway/store_mirror_changes.cpp
@@ -18,9 +18,13 @@
     auto changes = std::vector<adapter::object_change>();
     for (const auto& change : received.changes) {
         const auto existing = this->current.find(change.object.name);
+        // An object that is missing although the mirror has reached the
+        // revision of the change was removed since.
         const auto is_outdated =
-            existing != this->current.end() &&
-            existing->second.revision > change.object.revision;
+            existing == this->current.end()
+                ? !change.is_removed &&
+                      change.object.revision <= this->current_revision
+                : existing->second.revision > change.object.revision;
         if (is_outdated) {
             continue;
         }
