Remember that an upstream is leaving apart from its entry

Cause: the announcement was a field of the entry. It was lost when the entry expired or was removed, and never recorded while there was none; a newer start cleared it, although the store may report a restart after the new process has announced its own leaving. Class of fault: a fact from one source is stored in the record of another, and ends with it.

Announcements are kept by id, for a minute if the upstream is not registered. A restarted process stays out of use for four seconds, within which its own entry is draining or gone if the announcement was its own.

--- a/src/libs/dispatch/serving_state.cpp
+++ b/src/libs/dispatch/serving_state.cpp
@@ -11,8 +11,8 @@
 /// serve uneven load better as one pool.
 constexpr auto min_upstreams_to_shard = std::size_t(24);
 /// An upstream that is removed from the store may be registered again by the
-/// same process within this time, and then still has its limit.
-constexpr auto limit_retention = core::milliseconds(60000);
+/// same process within this time, and then still has its limit or is leaving.
+constexpr auto statement_retention = core::milliseconds(60000);
 
 } // namespace
 
@@ -39,8 +39,8 @@
     if (found == this->known.end()) {
         this->cached_counts.reset();
         this->known.emplace(
-            upstream.id,
-            known_upstream{upstream, heartbeat_number, now, {}, false});
+            upstream.id, known_upstream{upstream, heartbeat_number, now, {}});
+        this->note_restart(upstream, now);
         return true;
     }
     auto& entry = found->second;
@@ -51,10 +51,10 @@
         return false;
     }
     if (upstream.started_ms != entry.upstream.started_ms) {
-        entry.is_leaving = false;
         this->cached_counts.reset();
         this->hold_offs.erase(upstream.id);
         this->stated_limits.erase(upstream.id);
+        this->note_restart(upstream, now);
     }
     const auto was_removed = entry.kept_until.has_value();
     entry.kept_until.reset();
@@ -108,16 +108,54 @@
     return changed;
 }
 
+auto serving_state::note_restart(const serving::upstream& upstream,
+                                 core::time_point now) -> void
+{
+    const auto found = this->announcements.find(upstream.id);
+    if (found == this->announcements.end()) {
+        return;
+    }
+    auto& announcement = found->second;
+    if (announcement.started_ms &&
+        *announcement.started_ms != upstream.started_ms &&
+        !announcement.restart_seen_at) {
+        announcement.restart_seen_at = now;
+    }
+}
+
+auto serving_state::expire_announcements(core::time_point now) -> bool
+{
+    auto is_changed = false;
+    std::erase_if(this->announcements, [&](const auto& item) {
+        const auto& [id, announcement] = item;
+        const auto is_registered = this->known.contains(id);
+        const auto is_answered =
+            announcement.restart_seen_at &&
+            *announcement.restart_seen_at + restart_confirmation <= now;
+        const auto is_outdated =
+            (!is_registered || !announcement.started_ms) &&
+            announcement.announced_at + statement_retention <= now;
+        is_changed =
+            is_changed || (is_registered && (is_answered || is_outdated));
+        return is_answered || is_outdated;
+    });
+    if (is_changed) {
+        this->cached_counts.reset();
+    }
+    return is_changed;
+}
+
 auto serving_state::expire(core::time_point now) -> bool
 {
+    const auto is_usable_again = this->expire_announcements(now);
     std::erase_if(this->hold_offs,
                   [now](const auto& hold) { return hold.second <= now; });
     std::erase_if(this->stated_limits, [this, now](const auto& limit) {
         return !this->known.contains(limit.first) &&
-               limit.second.stated_at + limit_retention <= now;
+               limit.second.stated_at + statement_retention <= now;
     });
     if (this->next_expiry > now) {
-        return false;
+        return is_usable_again;
     }
     this->next_expiry = core::time_point::max();
     const auto expired =
@@ -135,18 +173,25 @@
     if (expired > 0) {
         this->cached_counts.reset();
     }
-    return expired > 0;
+    return expired > 0 || is_usable_again;
 }
 
-auto serving_state::mark_leaving(const core::upstream_id& id) -> bool
+auto serving_state::mark_leaving(const core::upstream_id& id,
+                                 core::time_point now) -> bool
 {
-    const auto found = this->known.find(id);
-    if (found == this->known.end() || found->second.is_leaving) {
-        return false;
+    auto made = leave_announcement{now, std::nullopt, std::nullopt};
+    const auto entry = this->known.find(id);
+    if (entry != this->known.end()) {
+        made.started_ms = entry->second.upstream.started_ms;
     }
-    found->second.is_leaving = true;
-    this->cached_counts.reset();
-    return true;
+    const auto [found, is_new] = this->announcements.try_emplace(id, made);
+    if (!is_new && found->second.restart_seen_at) {
+        found->second = made;
+    }
+    if (is_new) {
+        this->cached_counts.reset();
+    }
+    return is_new;
 }
 
 auto serving_state::hold_off(const core::upstream_id& id,
@@ -244,7 +289,8 @@
 
 auto serving_state::is_usable(const known_upstream& entry) const -> bool
 {
-    return !entry.upstream.is_draining && !entry.is_leaving &&
+    return !entry.upstream.is_draining &&
+           !this->announcements.contains(entry.upstream.id) &&
            !this->evacuated_zones.contains(entry.upstream.zone);
 }
 
--- a/src/libs/dispatch/serving_state.h
+++ b/src/libs/dispatch/serving_state.h
@@ -24,9 +24,6 @@
     /// Set if the entry was removed while the store's data could not be
     /// trusted: the time until which the upstream stays in use.
     std::optional<core::time_point> kept_until;
-    /// Whether the upstream has announced with an answer that it is about to
-    /// stop.
-    bool is_leaving = false;
     /// Requests per second that the upstream accepts from all nodes together;
     /// empty if it states no limit. Filled in by serving_state::usable().
     std::optional<double> request_limit = std::nullopt;
@@ -54,6 +51,12 @@
 /// the platform.
 constexpr auto reappearance_period = core::milliseconds(2000);
 
+/// Time for which a restarted process stays out of use if the upstream had
+/// announced its leaving. Only the store tells of restarts, and may do so late,
+/// so that the announcement can be that of the new process. If it is, the entry
+/// is draining or gone within this time, which is that of three heartbeats.
+constexpr auto restart_confirmation = core::milliseconds(4000);
+
 /// A node's view of the configuration in force, the upstreams and the
 /// availability zones that must get no work. Never reverts to an older version
 /// of the configuration or of an upstream's entry.
@@ -86,9 +89,10 @@
     /// limits of upstreams that are gone.
     auto expire(core::time_point now) -> bool;
 
-    /// An upstream has announced that it is about to stop.
+    /// An upstream, registered or not, has announced that it is about to stop.
     /// \return Whether this was not known before.
-    auto mark_leaving(const core::upstream_id& id) -> bool;
+    auto mark_leaving(const core::upstream_id& id, core::time_point now)
+        -> bool;
 
     /// An upstream has requested that nothing is sent to it until \a until.
     auto hold_off(const core::upstream_id& id, core::time_point until) -> void;
@@ -167,6 +171,17 @@
     [[nodiscard]] auto is_usable(const core::upstream_id& id) const -> bool;
 
 private:
+    /// The announcement of an upstream that it is about to stop. It is kept
+    /// apart from the upstream's entry, which may expire and return.
+    struct leave_announcement
+    {
+        core::time_point announced_at;
+        /// Start time of the process that was registered then; empty if none.
+        std::optional<std::int64_t> started_ms;
+        /// When another process was first registered after the announcement.
+        std::optional<core::time_point> restart_seen_at;
+    };
+
     /// Counts over all upstreams, cached until one of them changes.
     struct upstream_counts
     {
@@ -179,6 +194,13 @@
     [[nodiscard]] auto counts() const -> const upstream_counts&;
     [[nodiscard]] auto with_limit(known_upstream known) const -> known_upstream;
     [[nodiscard]] auto is_usable(const known_upstream& known) const -> bool;
+    /// Records that another process than the one which announced its leaving is
+    /// registered under its id.
+    auto note_restart(const serving::upstream& upstream, core::time_point now)
+        -> void;
+    /// Ends announcements that no longer apply.
+    /// \return Whether a registered upstream may get work again.
+    auto expire_announcements(core::time_point now) -> bool;
 
     std::shared_ptr<const serving::configuration> current;
     std::map<core::upstream_id, known_upstream> known;
@@ -186,6 +208,7 @@
     /// End of the hold-off by upstream; may be in the past.
     std::map<core::upstream_id, core::time_point> hold_offs;
     std::map<core::upstream_id, request_limit> stated_limits;
+    std::map<core::upstream_id, leave_announcement> announcements;
     /// No entry is dropped before this time.
     core::time_point next_expiry = core::time_point::max();
     mutable std::optional<upstream_counts> cached_counts;
--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -95,13 +95,12 @@
     } else if (verdict.is_genuine) {
         this->on_stated_limit({upstream, std::nullopt, sent_at});
     }
-    const auto entry = this->serving_state.upstreams().find(upstream);
-    if (!verdict.is_leaving || entry == this->serving_state.upstreams().end()) {
+    if (!verdict.is_leaving || !this->on_leaving(upstream, "answer")) {
         return;
     }
-    const auto leaving = entry->second.upstream;
-    if (this->on_leaving(upstream, "answer")) {
-        this->client.report_leaving(leaving);
+    const auto entry = this->serving_state.upstreams().find(upstream);
+    if (entry != this->serving_state.upstreams().end()) {
+        this->client.report_leaving(entry->second.upstream);
     }
 }
 
@@ -142,7 +141,7 @@
 auto node::state::on_leaving(const core::upstream_id& upstream,
                              std::string_view source) -> bool
 {
-    if (!this->serving_state.mark_leaving(upstream)) {
+    if (!this->serving_state.mark_leaving(upstream, this->event_loop.now())) {
         return false;
     }
     this->log.write(
--- a/tests/unit/dispatch/serving_state_test.cpp
+++ b/tests/unit/dispatch/serving_state_test.cpp
@@ -94,6 +94,66 @@
     EXPECT_FALSE(this->state.is_usable(this->id));
 }
 
+TEST_F(serving_state_test,
+       a_leaving_upstream_gets_no_work_when_its_entry_returns)
+{
+    this->state.update(make_upstream("i"), 1, this->now);
+    EXPECT_TRUE(this->state.mark_leaving(this->id, this->now));
+    EXPECT_FALSE(this->state.mark_leaving(this->id, this->now));
+    this->state.remove(this->id, std::nullopt);
+    this->state.update(make_upstream("i"), 2, this->now);
+    EXPECT_FALSE(this->state.is_usable(this->id));
+}
+
+TEST_F(serving_state_test,
+       an_upstream_that_leaves_while_its_entry_is_gone_stays_out)
+{
+    EXPECT_TRUE(this->state.mark_leaving(this->id, this->now));
+    this->state.update(make_upstream("i"), 1, this->now);
+    EXPECT_FALSE(this->state.is_usable(this->id));
+}
+
+// The store may report a restart long after it, so that the announcement can be
+// that of the new process.
+TEST_F(serving_state_test,
+       a_leaving_upstream_that_restarts_gets_no_work_at_once)
+{
+    auto upstream = make_upstream("i");
+    this->state.update(upstream, 1, this->now);
+    this->state.mark_leaving(this->id, this->now);
+    upstream.started_ms = 10;
+    this->state.update(upstream, 1, this->now);
+    EXPECT_FALSE(this->state.is_usable(this->id));
+    const auto later = this->now + restart_confirmation;
+    this->state.expire(later - core::milliseconds(1));
+    EXPECT_FALSE(this->state.is_usable(this->id));
+    EXPECT_TRUE(this->state.expire(later));
+    EXPECT_TRUE(this->state.is_usable(this->id));
+}
+
+TEST_F(serving_state_test,
+       an_announcement_after_a_restart_is_that_of_the_new_process)
+{
+    auto upstream = make_upstream("i");
+    this->state.update(upstream, 1, this->now);
+    this->state.mark_leaving(this->id, this->now);
+    upstream.started_ms = 10;
+    this->state.update(upstream, 1, this->now);
+    this->state.mark_leaving(this->id, this->now + core::milliseconds(5));
+    this->state.expire(this->now + std::chrono::hours(1));
+    EXPECT_FALSE(this->state.is_usable(this->id));
+}
+
+TEST_F(serving_state_test, an_announcement_of_an_upstream_that_is_gone_ends)
+{
+    this->state.update(make_upstream("i"), 1, this->now);
+    this->state.mark_leaving(this->id, this->now);
+    this->state.remove(this->id, std::nullopt);
+    this->state.expire(this->now + std::chrono::seconds(60));
+    this->state.update(make_upstream("i"), 2, this->now);
+    EXPECT_TRUE(this->state.is_usable(this->id));
+}
+
 TEST_F(serving_state_test, a_limit_ends_with_a_later_answer_that_states_none)
 {
     EXPECT_TRUE(this->state.set_limit(this->id, {1.5, this->now}));
