Quarantine requests that crash their upstreams, not only prompt parts

Cause: crashes were related to the shared parts of prompts only. A request without a prompt, or whose parts other requests share, had no record, so that each repeat was new to every node.

Nodes now report a fingerprint of each request at a crash: its target, caller and body, which a repeat has in common with the first. A second quarantine with the same rules decides on them. Answers are recorded for suspected fingerprints only, since most requests never come again. Decisions on prompt parts are as before.

--- a/src/libs/dispatch/prompt_quarantine.cpp
+++ b/src/libs/dispatch/prompt_quarantine.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace almondtiller::dispatch {
@@ -51,6 +52,17 @@
     return parts;
 }
 
+auto request_fingerprint(const serving::caller_request& request)
+    -> std::uint64_t
+{
+    auto text = std::string();
+    for (const auto* field : {&request.method, &request.host, &request.target,
+                              &request.api_key, &request.body}) {
+        text += std::to_string(field->size()) + ":" + *field;
+    }
+    return routing::placement_hash(text);
+}
+
 auto prompt_quarantine::answered_at(std::uint64_t part) const
     -> std::optional<core::time_point>
 {
@@ -236,6 +248,16 @@
     return cleared;
 }
 
+auto prompt_quarantine::has_crashes() const -> bool
+{
+    return !this->crashes.empty();
+}
+
+auto prompt_quarantine::is_suspected(std::uint64_t part) const -> bool
+{
+    return this->is_active(part) || this->count_crashes(part) > 0;
+}
+
 auto prompt_quarantine::newer_answers(const upstream_crash& crash) const
     -> std::vector<known_part>
 {
--- a/src/libs/dispatch/prompt_quarantine.h
+++ b/src/libs/dispatch/prompt_quarantine.h
@@ -13,9 +13,16 @@
 
 namespace almondtiller::dispatch {
 
-/// Hashes of prompt parts, in the order of the prompt.
+/// Hashes of prompt parts, in the order of the prompt. The fingerprint of a
+/// request stands for a part that only its repeats share.
 using part_hashes = std::vector<std::uint64_t>;
 
+/// \return A hash of what the repeats of a request have in common: its target,
+///         caller and body. Unlike its id, it is the same each time the caller
+///         sends the request.
+[[nodiscard]] auto request_fingerprint(const serving::caller_request& request)
+    -> std::uint64_t;
+
 /// \return The hashes of all parts but the last, which belongs to its request
 ///         only.
 [[nodiscard]] auto shared_parts(const std::vector<serving::prompt_part>& prompt)
@@ -65,6 +72,13 @@
     auto on_answers(const std::vector<known_part>& parts, core::time_point now)
         -> std::vector<known_part>;
 
+    /// \return Whether any crash is on record.
+    [[nodiscard]] auto has_crashes() const -> bool;
+
+    /// \return Whether the part is in quarantine or was at a crash since the
+    ///         last answer with it.
+    [[nodiscard]] auto is_suspected(std::uint64_t part) const -> bool;
+
     /// \return The answers with parts of the crash's requests that are known
     ///         here and more recent than those known to its reporter.
     [[nodiscard]] auto newer_answers(const upstream_crash& crash) const
--- a/src/services/gateway/crash_messages.cpp
+++ b/src/services/gateway/crash_messages.cpp
@@ -89,7 +89,9 @@
 {
     const auto value = json::array(
         {message.crash ? crash_to_json(*message.crash, now) : json(),
-         parts_to_json(message.answered, now)});
+         parts_to_json(message.answered, now),
+         parts_to_json(message.fingerprints, now),
+         parts_to_json(message.answered_fingerprints, now)});
     auto bytes = std::string();
     json::to_msgpack(value, bytes);
     return bytes;
@@ -105,6 +107,15 @@
             message.crash = crash_from_json(value.at(0), now);
         }
         message.answered = parts_from_json(value.at(1), now);
+        // Earlier versions of the program do not send these fields.
+        constexpr auto fingerprints_index = std::size_t(2);
+        constexpr auto answered_index = std::size_t(3);
+        if (value.size() > answered_index) {
+            message.fingerprints =
+                parts_from_json(value.at(fingerprints_index), now);
+            message.answered_fingerprints =
+                parts_from_json(value.at(answered_index), now);
+        }
         return message;
     } catch (const json::exception&) {
         return make_error_code(fleet::fleet_errc::malformed_message);
--- a/src/services/gateway/crash_messages.h
+++ b/src/services/gateway/crash_messages.h
@@ -10,13 +10,19 @@
 
 namespace almondtiller::gateway {
 
-/// What a node has observed about the prompt parts that crash upstreams.
+/// What a node has observed about the prompt parts and the requests that crash
+/// upstreams.
 struct crash_message
 {
-    /// A crash that the node has detected.
+    /// A crash that the node has detected, with the prompt parts that were
+    /// there.
     std::optional<dispatch::upstream_crash> crash;
     /// Suspected parts with which answers have begun.
     std::vector<dispatch::known_part> answered;
+    /// The fingerprints of the requests that were at the crash.
+    std::vector<dispatch::known_part> fingerprints;
+    /// Suspected fingerprints of requests whose answers have begun.
+    std::vector<dispatch::known_part> answered_fingerprints;
 
     auto operator==(const crash_message&) const -> bool = default;
 };
--- a/src/services/gateway/crash_monitor.cpp
+++ b/src/services/gateway/crash_monitor.cpp
@@ -35,14 +35,36 @@
            error == std::errc::connection_reset;
 }
 
-auto part_text(std::uint64_t part) -> std::string
+/// \return The crash with the fingerprints of its requests as their only parts.
+auto with_fingerprints(const crash_message& message) -> dispatch::upstream_crash
+{
+    auto crash = *message.crash;
+    crash.requests.clear();
+    for (const auto& fingerprint : message.fingerprints) {
+        crash.requests.push_back({fingerprint});
+    }
+    return crash;
+}
+
+/// \return The hashes of a quarantine that other nodes are told. They are sent
+///         with each status of the node.
+auto reported_hashes(const dispatch::prompt_quarantine& quarantine)
+    -> dispatch::part_hashes
+{
+    constexpr auto max_hashes = std::size_t(16);
+    auto hashes = quarantine.parts();
+    hashes.resize(std::min(hashes.size(), max_hashes));
+    return hashes;
+}
+
+auto hash_text(std::uint64_t hash) -> std::string
 {
     constexpr auto digits = "0123456789abcdef";
     constexpr auto digit_bits = 4;
     auto text = std::string();
     for (auto shift = 64; shift > 0;) {
         shift -= digit_bits;
-        text += digits[(part >> unsigned(shift)) & 15U];
+        text += digits[(hash >> unsigned(shift)) & 15U];
     }
     return text;
 }
@@ -68,10 +90,12 @@
         if (!message) {
             this->log_unreadable(sender, message.error());
         } else {
-            this->apply_answers(message.value().answered, sender.str());
+            this->apply_answers(message.value(), sender.str());
             if (const auto& crash = message.value().crash) {
-                reply.answered = this->quarantine.newer_answers(*crash);
-                this->apply(*crash);
+                reply.answered = this->parts.newer_answers(*crash);
+                reply.answered_fingerprints = this->requests.newer_answers(
+                    with_fingerprints(message.value()));
+                this->apply(message.value());
             }
         }
         answer(encode(reply, this->event_loop.now()));
@@ -93,25 +117,27 @@
     this->watchers = std::move(nodes);
 }
 
-auto crash_monitor::on_attempt_failed(
-    const serving::upstream& upstream,
-    const std::vector<serving::prompt_part>& prompt, std::error_code error)
-    -> void
+auto crash_monitor::on_attempt_failed(const serving::upstream& upstream,
+                                      const serving::caller_request& request,
+                                      std::error_code error) -> void
 {
-    const auto parts = dispatch::shared_parts(prompt);
-    if (parts.empty() || !is_connection_lost(error)) {
+    if (!is_connection_lost(error)) {
         return;
     }
-    const auto is_new = !this->probed.contains(upstream.id);
-    auto& crash = this->probed[upstream.id];
+    const auto [found, is_new] = this->probed.try_emplace(upstream.id);
+    auto& message = found->second;
     if (is_new) {
-        crash.upstream = upstream.id;
-        crash.at = this->event_loop.now();
+        message.crash.emplace();
+        message.crash->upstream = upstream.id;
+        message.crash->at = this->event_loop.now();
     }
-    if (crash.requests.size() < max_requests_per_crash) {
-        auto& suspects = crash.requests.emplace_back();
-        for (const auto part : parts) {
-            suspects.push_back({part, this->quarantine.answered_at(part)});
+    if (message.fingerprints.size() < max_requests_per_crash) {
+        const auto fingerprint = dispatch::request_fingerprint(request);
+        message.fingerprints.push_back(
+            {fingerprint, this->requests.answered_at(fingerprint)});
+        auto& suspects = message.crash->requests.emplace_back();
+        for (const auto part : dispatch::shared_parts(request.prompt)) {
+            suspects.push_back({part, this->parts.answered_at(part)});
         }
     }
     if (is_new) {
@@ -142,26 +168,27 @@
     if (found == this->probed.end()) {
         return;
     }
-    const auto crash = std::move(found->second);
+    const auto message = std::move(found->second);
     this->probed.erase(found);
     const auto has_crashed = is_down(error);
     this->log.write(
         severity::notice,
         has_crashed ? "upstream_crashed" : "upstream_lost_answers",
         {{"upstream", upstream.str()},
-         {"requests", std::to_string(crash.requests.size())},
+         {"requests", std::to_string(message.fingerprints.size())},
          {"probe", error ? error.message() : std::string("connected")},
-         {"age_ms", ms_text(this->event_loop.now() - crash.at)}});
+         {"age_ms", ms_text(this->event_loop.now() - message.crash->at)}});
     if (has_crashed) {
         ++this->crashes;
-        this->apply(crash);
-        this->share({crash, {}});
+        this->apply(message);
+        this->share(message);
     }
 }
 
-auto crash_monitor::apply(const dispatch::upstream_crash& crash) -> void
+auto crash_monitor::apply(const crash_message& message) -> void
 {
-    this->quarantine.on_crash(crash);
+    this->parts.on_crash(*message.crash);
+    this->requests.on_crash(with_fingerprints(message));
     if (!std::exchange(this->is_decision_scheduled, true)) {
         this->decision_timer.start(report_period);
     }
@@ -170,44 +197,64 @@
 auto crash_monitor::decide() -> void
 {
     this->is_decision_scheduled = false;
-    const auto added = this->quarantine.decide(this->event_loop.now());
-    this->log_parts("prompt_part_quarantined", added, "self");
-    if (!added.empty()) {
+    const auto now = this->event_loop.now();
+    const auto added_parts = this->parts.decide(now);
+    const auto added_requests = this->requests.decide(now);
+    this->log_hashes("prompt_part_quarantined", added_parts, "self");
+    this->log_hashes("request_quarantined", added_requests, "self");
+    if (!added_parts.empty() || !added_requests.empty()) {
         this->on_quarantine();
     }
 }
 
-auto crash_monitor::on_answer_begun(
-    const std::vector<serving::prompt_part>& prompt) -> void
+auto crash_monitor::on_answer_begun(const serving::caller_request& request)
+    -> void
 {
-    auto answers = std::vector<dispatch::known_part>();
-    for (const auto part : dispatch::shared_parts(prompt)) {
-        answers.push_back({part, this->event_loop.now()});
+    const auto now = this->event_loop.now();
+    auto answers = crash_message();
+    for (const auto part : dispatch::shared_parts(request.prompt)) {
+        answers.answered.push_back({part, now});
+    }
+    // Most requests are never repeated, so that only the answers to suspected
+    // ones are recorded.
+    if (this->requests.has_crashes()) {
+        const auto fingerprint = dispatch::request_fingerprint(request);
+        if (this->requests.is_suspected(fingerprint)) {
+            answers.answered_fingerprints.push_back({fingerprint, now});
+        }
     }
     this->learn_answers(answers, "self");
 }
 
-auto crash_monitor::learn_answers(
-    const std::vector<dispatch::known_part>& answers, std::string_view source)
-    -> void
+auto crash_monitor::learn_answers(const crash_message& message,
+                                  std::string_view source) -> void
 {
-    const auto cleared = this->apply_answers(answers, source);
-    if (!cleared.empty()) {
-        this->share({std::nullopt, cleared});
+    const auto cleared = this->apply_answers(message, source);
+    if (cleared != crash_message()) {
+        this->share(cleared);
     }
 }
 
-auto crash_monitor::apply_answers(
-    const std::vector<dispatch::known_part>& answers, std::string_view source)
-    -> std::vector<dispatch::known_part>
+auto crash_monitor::apply_answers(const crash_message& message,
+                                  std::string_view source) -> crash_message
 {
-    const auto before = this->quarantine.parts();
-    auto cleared = this->quarantine.on_answers(answers, this->event_loop.now());
-    const auto after = this->quarantine.parts();
-    auto released = dispatch::part_hashes();
-    std::set_difference(before.begin(), before.end(), after.begin(),
-                        after.end(), std::back_inserter(released));
-    this->log_parts("prompt_part_released", released, source);
+    auto cleared = crash_message();
+    const auto apply_to = [&](dispatch::prompt_quarantine& quarantine,
+                              const std::vector<dispatch::known_part>& answers,
+                              std::string_view event) {
+        const auto before = quarantine.parts();
+        auto suspected = quarantine.on_answers(answers, this->event_loop.now());
+        const auto after = quarantine.parts();
+        auto released = dispatch::part_hashes();
+        std::set_difference(before.begin(), before.end(), after.begin(),
+                            after.end(), std::back_inserter(released));
+        this->log_hashes(event, released, source);
+        return suspected;
+    };
+    cleared.answered =
+        apply_to(this->parts, message.answered, "prompt_part_released");
+    cleared.answered_fingerprints = apply_to(
+        this->requests, message.answered_fingerprints, "request_released");
     return cleared;
 }
 
@@ -230,68 +277,78 @@
 auto crash_monitor::send(const core::node_id& node, const std::string& body)
     -> void
 {
-    this->mesh.call(
-        node, crash_topic, body, share_timeout,
-        [this, node, alive = std::weak_ptr<bool>(this->is_alive)](
-            const core::result<std::string>& answer) {
-            // A node that misses a message learns from the others which parts
-            // are in quarantine.
-            if (!answer || alive.expired()) {
-                return;
-            }
-            const auto known =
-                decode_crash(answer.value(), this->event_loop.now());
-            if (known) {
-                this->learn_answers(known.value().answered, node.str());
-            } else {
-                this->log_unreadable(node, known.error());
-            }
-        });
+    this->mesh.call(node, crash_topic, body, share_timeout,
+                    [this, node, alive = std::weak_ptr<bool>(this->is_alive)](
+                        const core::result<std::string>& answer) {
+                        // A node that misses a message learns from the others
+                        // which parts are in quarantine.
+                        if (!answer || alive.expired()) {
+                            return;
+                        }
+                        const auto known = decode_crash(answer.value(),
+                                                        this->event_loop.now());
+                        if (known) {
+                            this->learn_answers(known.value(), node.str());
+                        } else {
+                            this->log_unreadable(node, known.error());
+                        }
+                    });
 }
 
-auto crash_monitor::is_quarantined(
-    const std::vector<serving::prompt_part>& prompt) -> bool
+auto crash_monitor::quarantine_reason(const serving::caller_request& request)
+    -> std::optional<std::string_view>
 {
-    if (this->quarantine.parts().empty()) {
-        return false;
+    const auto now = this->event_loop.now();
+    if (!this->parts.parts().empty() &&
+        this->parts.find(dispatch::shared_parts(request.prompt), now)) {
+        return "prompt_part_quarantined";
     }
-    return this->quarantine
-        .find(dispatch::shared_parts(prompt), this->event_loop.now())
-        .has_value();
+    if (!this->requests.parts().empty() &&
+        this->requests.find({dispatch::request_fingerprint(request)}, now)) {
+        return "request_quarantined";
+    }
+    return std::nullopt;
 }
 
 auto crash_monitor::adopt(const core::node_id& peer,
-                          const dispatch::part_hashes& parts) -> void
+                          const dispatch::part_hashes& part_list,
+                          const dispatch::part_hashes& request_list) -> void
 {
-    this->log_parts("prompt_part_quarantined",
-                    this->quarantine.adopt(parts, this->event_loop.now()),
-                    peer.str());
+    const auto now = this->event_loop.now();
+    this->log_hashes("prompt_part_quarantined",
+                     this->parts.adopt(part_list, now), peer.str());
+    this->log_hashes("request_quarantined",
+                     this->requests.adopt(request_list, now), peer.str());
 }
 
 auto crash_monitor::expire() -> void
 {
-    this->log_parts("prompt_part_released",
-                    this->quarantine.expire(this->event_loop.now()), "expiry");
+    const auto now = this->event_loop.now();
+    this->log_hashes("prompt_part_released", this->parts.expire(now), "expiry");
+    this->log_hashes("request_released", this->requests.expire(now), "expiry");
 }
 
-auto crash_monitor::log_parts(std::string_view event,
-                              const dispatch::part_hashes& parts,
-                              std::string_view source) -> void
+auto crash_monitor::log_hashes(std::string_view event,
+                               const dispatch::part_hashes& hashes,
+                               std::string_view source) -> void
 {
-    for (const auto part : parts) {
+    for (const auto hash : hashes) {
         this->log.write(
             severity::notice, event,
-            {{"part", part_text(part)}, {"source", std::string(source)}});
+            {{event.starts_with("prompt_part") ? "part" : "fingerprint",
+              hash_text(hash)},
+             {"source", std::string(source)}});
     }
 }
 
-auto crash_monitor::quarantined() const -> dispatch::part_hashes
+auto crash_monitor::quarantined_parts() const -> dispatch::part_hashes
+{
+    return reported_hashes(this->parts);
+}
+
+auto crash_monitor::quarantined_requests() const -> dispatch::part_hashes
 {
-    // The parts are sent with each status of the node.
-    constexpr auto max_parts = std::size_t(16);
-    auto parts = this->quarantine.parts();
-    parts.resize(std::min(parts.size(), max_parts));
-    return parts;
+    return reported_hashes(this->requests);
 }
 
 auto crash_monitor::crash_count() const -> std::uint64_t
--- a/src/services/gateway/crash_monitor.h
+++ b/src/services/gateway/crash_monitor.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -19,11 +20,13 @@
 namespace almondtiller::gateway {
 
 /// Detects crashes of upstreams and shares with other nodes which requests were
-/// there, so that all nodes reject prompts with a part that crashes upstreams.
+/// there, so that all nodes reject prompts with a part that crashes upstreams,
+/// and repeats of a request that does.
 class crash_monitor
 {
 public:
-    /// \param on_quarantine Called when a part has been quarantined.
+    /// \param on_quarantine Called when a part or a request has been
+    ///        quarantined.
     crash_monitor(event::loop& event_loop, peer_mesh& mesh, event_log& log,
                   std::function<void()> on_quarantine);
 
@@ -35,23 +38,25 @@
 
     /// An attempt has failed before its answer began.
     auto on_attempt_failed(const serving::upstream& upstream,
-                           const std::vector<serving::prompt_part>& prompt,
+                           const serving::caller_request& request,
                            std::error_code error) -> void;
-    /// The answer to a prompt has begun.
-    auto on_answer_begun(const std::vector<serving::prompt_part>& prompt)
-        -> void;
+    /// The answer to a request has begun.
+    auto on_answer_begun(const serving::caller_request& request) -> void;
 
-    /// \return Whether the prompt has a part that is in quarantine.
-    [[nodiscard]] auto
-    is_quarantined(const std::vector<serving::prompt_part>& prompt) -> bool;
+    /// \return Why the request must not be sent: it or a part of its prompt is
+    ///         in quarantine; std::nullopt if neither is.
+    [[nodiscard]] auto quarantine_reason(const serving::caller_request& request)
+        -> std::optional<std::string_view>;
 
-    /// Adopts the parts that another node has in quarantine.
-    auto adopt(const core::node_id& peer, const dispatch::part_hashes& parts)
-        -> void;
+    /// Adopts what another node has in quarantine.
+    auto adopt(const core::node_id& peer, const dispatch::part_hashes& parts,
+               const dispatch::part_hashes& requests) -> void;
     auto expire() -> void;
 
     /// \return The parts in quarantine, those that other nodes are told.
-    [[nodiscard]] auto quarantined() const -> dispatch::part_hashes;
+    [[nodiscard]] auto quarantined_parts() const -> dispatch::part_hashes;
+    /// \return The fingerprints in quarantine, those that other nodes are told.
+    [[nodiscard]] auto quarantined_requests() const -> dispatch::part_hashes;
     /// \return The number of crashes that this node has detected.
     [[nodiscard]] auto crash_count() const -> std::uint64_t;
 
@@ -59,30 +64,34 @@
     auto probe(const serving::upstream& upstream) -> void;
     auto on_probed(const core::upstream_id& upstream, std::error_code error)
         -> void;
-    auto apply(const dispatch::upstream_crash& crash) -> void;
+    /// Applies a crash, which the message has.
+    auto apply(const crash_message& message) -> void;
     auto decide() -> void;
-    /// \return The parts that were suspected or in quarantine until now.
-    auto apply_answers(const std::vector<dispatch::known_part>& answers,
-                       std::string_view source)
-        -> std::vector<dispatch::known_part>;
-    /// Applies answers and shares those with suspected parts.
-    auto learn_answers(const std::vector<dispatch::known_part>& answers,
-                       std::string_view source) -> void;
+    /// \return The answers of the message with parts and fingerprints that were
+    ///         suspected or in quarantine until now.
+    auto apply_answers(const crash_message& message, std::string_view source)
+        -> crash_message;
+    /// Applies answers and shares those with suspected parts or fingerprints.
+    auto learn_answers(const crash_message& message, std::string_view source)
+        -> void;
     auto share(const crash_message& message) -> void;
     auto send(const core::node_id& node, const std::string& body) -> void;
     auto log_unreadable(const core::node_id& peer, std::error_code error)
         -> void;
-    auto log_parts(std::string_view event, const dispatch::part_hashes& parts,
-                   std::string_view source) -> void;
+    auto log_hashes(std::string_view event, const dispatch::part_hashes& hashes,
+                    std::string_view source) -> void;
 
     event::loop& event_loop;
     peer_mesh& mesh;
     event_log& log;
     std::function<void()> on_quarantine;
     std::vector<core::node_id> watchers;
-    dispatch::prompt_quarantine quarantine;
+    /// Decides on the shared parts of prompts.
+    dispatch::prompt_quarantine parts;
+    /// Decides on whole requests, by their fingerprints.
+    dispatch::prompt_quarantine requests;
     /// Crashes that are not confirmed yet.
-    std::map<core::upstream_id, dispatch::upstream_crash> probed;
+    std::map<core::upstream_id, crash_message> probed;
     std::uint64_t crashes = 0;
     event::timer decision_timer;
     bool is_decision_scheduled = false;
--- a/src/services/gateway/flow_limits.h
+++ b/src/services/gateway/flow_limits.h
@@ -42,8 +42,7 @@
 inline constexpr auto max_answer_bytes = std::size_t(1) << 20U;
 inline constexpr auto max_event_bytes = std::size_t(1) << 18U;
 
-/// Reason of rejections because the prompt has a part that crashes upstreams.
-inline constexpr auto quarantine_reason = "prompt_part_quarantined";
+/// Retry delay of requests that are rejected because they crash upstreams.
 inline constexpr auto quarantine_retry_after = core::milliseconds(5000);
 
 inline constexpr auto bad_gateway = 502;
--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -32,7 +32,8 @@
             this->serving_state.config() ? this->serving_state.config()->version
                                          : 0,
             this->incarnation,
-            this->crashes.quarantined()};
+            this->crashes.quarantined_parts(),
+            this->crashes.quarantined_requests()};
 }
 
 auto node::state::status_text() -> const std::string&
@@ -64,7 +65,8 @@
                       [](const auto& flow) { return !flow.expired(); }));
     view.upstream_connections = this->pool.opened();
     view.log_lines_dropped = this->log.dropped();
-    view.quarantined_parts = this->crashes.quarantined().size();
+    view.quarantined_parts = this->crashes.quarantined_parts().size();
+    view.quarantined_requests = this->crashes.quarantined_requests().size();
     view.upstream_crashes = this->crashes.crash_count();
     view.services = this->local.loads();
     view.store = this->follower.views();
@@ -228,7 +230,8 @@
         const auto before =
             as_ready(view, reported.text.empty() ? nullptr : &reported);
         reported = {text, status.value(), view.entry.incarnation};
-        this->crashes.adopt(peer, status.value().quarantined);
+        this->crashes.adopt(peer, status.value().quarantined,
+                            status.value().quarantined_requests);
         if (as_ready(view, &reported) != before) {
             this->update_candidates();
         }
--- a/src/services/gateway/node_metrics.cpp
+++ b/src/services/gateway/node_metrics.cpp
@@ -29,9 +29,12 @@
 constexpr auto quarantined_info = core::metric_info{
     "almondtiller_gateway_quarantined_prompt_parts", metric_kind::gauge,
     "Prompt parts whose requests are rejected because they crash upstreams."};
+constexpr auto quarantined_requests_info = core::metric_info{
+    "almondtiller_gateway_quarantined_requests", metric_kind::gauge,
+    "Requests whose repeats are rejected because they crash upstreams."};
 constexpr auto crashes_info = core::metric_info{
     "almondtiller_gateway_upstream_crashes_total", metric_kind::counter,
-    "Crashes of upstreams before they began to answer a prompt of this node."};
+    "Crashes of upstreams before they began to answer a request of this node."};
 constexpr auto connections_info = core::metric_info{
     "almondtiller_gateway_connections_opened_total", metric_kind::counter,
     "Connections that were opened to upstreams and the store."};
@@ -120,6 +123,8 @@
     raise_to(registry.counter_for(connections_info), view.upstream_connections);
     raise_to(registry.counter_for(dropped_info), view.log_lines_dropped);
     registry.gauge_for(quarantined_info).set(double(view.quarantined_parts));
+    registry.gauge_for(quarantined_requests_info)
+        .set(double(view.quarantined_requests));
     raise_to(registry.counter_for(crashes_info), view.upstream_crashes);
     update_services(registry, view);
     update_upstreams(registry, serving_state);
--- a/src/services/gateway/node_metrics.h
+++ b/src/services/gateway/node_metrics.h
@@ -43,6 +43,7 @@
     std::uint64_t upstream_connections = 0;
     std::uint64_t log_lines_dropped = 0;
     std::size_t quarantined_parts = 0;
+    std::size_t quarantined_requests = 0;
     std::uint64_t upstream_crashes = 0;
     std::vector<service_load> services;
     std::vector<store_view> store;
--- a/src/services/gateway/peer_messages.cpp
+++ b/src/services/gateway/peer_messages.cpp
@@ -178,10 +178,11 @@
 
 auto encode(const node_status& status) -> std::string
 {
-    return pack(json::array(
-        {status.is_ready, core::to_text(status.front), status.zone.str(),
-         status.revisions, status.capacity.cores, status.capacity.link_mbps,
-         status.configuration, status.incarnation, status.quarantined}));
+    return pack(json::array({status.is_ready, core::to_text(status.front),
+                             status.zone.str(), status.revisions,
+                             status.capacity.cores, status.capacity.link_mbps,
+                             status.configuration, status.incarnation,
+                             status.quarantined, status.quarantined_requests}));
 }
 
 auto decode_status(std::string_view body) -> core::result<node_status>
@@ -198,6 +199,7 @@
         constexpr auto configuration_index = std::size_t(6);
         constexpr auto incarnation_index = std::size_t(7);
         constexpr auto quarantined_index = std::size_t(8);
+        constexpr auto quarantined_requests_index = std::size_t(9);
         if (value.size() > configuration_index) {
             status.configuration =
                 value.at(configuration_index).get<std::int64_t>();
@@ -209,6 +211,10 @@
             status.quarantined =
                 value.at(quarantined_index).get<dispatch::part_hashes>();
         }
+        if (value.size() > quarantined_requests_index) {
+            status.quarantined_requests = value.at(quarantined_requests_index)
+                                              .get<dispatch::part_hashes>();
+        }
         return status;
     });
 }
--- a/src/services/gateway/peer_messages.h
+++ b/src/services/gateway/peer_messages.h
@@ -39,6 +39,8 @@
     std::string incarnation;
     /// Prompt parts that the node has in quarantine.
     dispatch::part_hashes quarantined;
+    /// Fingerprints of the requests that the node has in quarantine.
+    dispatch::part_hashes quarantined_requests;
 
     auto operator==(const node_status&) const -> bool = default;
 };
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -18,10 +18,11 @@
         this->place(this->attempts > 0);
         return;
     }
-    if (this->shared.crashes.is_quarantined(this->request.prompt)) {
+    if (const auto reason =
+            this->shared.crashes.quarantine_reason(this->request)) {
         this->shared.dispatch.report_ended(this->service, this->request.id,
                                            dispatch::attempt_end::cancelled);
-        this->give_up(quarantine_reason, quarantine_retry_after);
+        this->give_up(*reason, quarantine_retry_after);
         return;
     }
     if (this->is_replacing) {
@@ -173,7 +174,7 @@
     this->last_event = now;
     if (!this->caller->is_started()) {
         this->first_event = now;
-        this->shared.crashes.on_answer_begun(this->request.prompt);
+        this->shared.crashes.on_answer_begun(this->request);
         this->caller->start(this->verdict.status,
                             adapter::answer_headers(*this->head), std::nullopt);
         if (this->stages) {
@@ -213,7 +214,7 @@
             this->keep_silent_attempt();
         }
         if (!this->is_stream && is_success(this->verdict.status)) {
-            this->shared.crashes.on_answer_begun(this->request.prompt);
+            this->shared.crashes.on_answer_begun(this->request);
         }
         this->on_answer();
     }
@@ -305,8 +306,8 @@
     this->progress_timer.stop();
     this->head.reset();
     if (this->upstream && sent && this->events.event_count() == 0) {
-        this->shared.crashes.on_attempt_failed(*this->upstream,
-                                               this->request.prompt, error);
+        this->shared.crashes.on_attempt_failed(*this->upstream, this->request,
+                                               error);
     }
     if (this->is_replacing) {
         this->attempts -= sent ? 0 : 1;
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -128,8 +128,9 @@
 auto request_flow::start() -> void
 {
     this->shared.metrics.count_request();
-    if (this->shared.crashes.is_quarantined(this->request.prompt)) {
-        this->reject(quarantine_reason, quarantine_retry_after);
+    if (const auto reason =
+            this->shared.crashes.quarantine_reason(this->request)) {
+        this->reject(*reason, quarantine_retry_after);
         return;
     }
     const auto self = this->shared_from_this();
--- a/src/services/gateway/request_replacement.cpp
+++ b/src/services/gateway/request_replacement.cpp
@@ -151,7 +151,7 @@
         this->log_broken_attempt(failed->upstream.id, error, true);
         if (this->events.event_count() == 0) {
             this->shared.crashes.on_attempt_failed(failed->upstream,
-                                                   this->request.prompt, error);
+                                                   this->request, error);
         }
     }
 }
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -121,6 +121,11 @@
     this->fatal_part = std::move(part);
 }
 
+auto fake_upstream::set_fatal_body(std::string text) -> void
+{
+    this->fatal_body = std::move(text);
+}
+
 auto fake_upstream::crash_and_return(const run_record& cause) -> void
 {
     this->after(crash_delay, [this, cause]() {
@@ -232,7 +237,10 @@
         return;
     }
     const auto prompt = request.headers.find("X-Almondtiller-Prompt-Prefix");
-    if (!this->fatal_part.empty() && has_part(prompt, this->fatal_part)) {
+    const auto is_fatal =
+        (!this->fatal_part.empty() && has_part(prompt, this->fatal_part)) ||
+        (!this->fatal_body.empty() && request.body == this->fatal_body);
+    if (is_fatal) {
         this->crash_and_return(this->journal.arrivals.back());
         return;
     }
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -109,6 +109,10 @@
     /// has this part, and return after a while; never if empty.
     auto set_fatal_part(std::string part) -> void;
 
+    /// Makes the upstream crash when it begins to run a request with this body,
+    /// and return after a while; never if empty.
+    auto set_fatal_body(std::string text) -> void;
+
     /// Sets the address to register instead of its own, such as a proxy's.
     auto set_advertised(std::string address) -> void;
 
@@ -159,6 +163,7 @@
     std::string hold_off;
     std::string request_limit;
     std::string fatal_part;
+    std::string fatal_body;
     event::timer return_timer;
     /// Last member, so that it is destroyed first: its requests use the others.
     raw_server server;
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -32,8 +32,8 @@
 }
 
 auto request_text(const call_record& record, const std::string& key,
-                  const std::string& prompt, std::uint64_t shared_tokens)
-    -> std::string
+                  const std::string& prompt, const std::string& body,
+                  std::uint64_t shared_tokens) -> std::string
 {
     auto request = http1::request_message();
     request.method = record.path == "read" ? "GET" : "POST";
@@ -53,7 +53,7 @@
         request.headers.add("X-Almondtiller-Piece-Key", "piece");
     }
     if (request.method == "POST") {
-        request.body = "body of " + record.id;
+        request.body = body.empty() ? "body of " + record.id : body;
     }
     return http1::serialize(request);
 }
@@ -76,6 +76,11 @@
     this->prompt = std::move(parts);
 }
 
+auto world_caller::set_body(std::string text) -> void
+{
+    this->body = std::move(text);
+}
+
 auto world_caller::call(const core::endpoint& front, const std::string& path,
                         const std::string& key) -> call_record&
 {
@@ -112,9 +117,10 @@
     };
     auto options = http1::call_options();
     options.longest_idle = core::milliseconds(2000);
-    this->pool.call({core::to_text(front), front},
-                    request_text(record, key, parts, this->shared_tokens),
-                    options, std::move(hooks));
+    this->pool.call(
+        {core::to_text(front), front},
+        request_text(record, key, parts, this->body, this->shared_tokens),
+        options, std::move(hooks));
     return record;
 }
 
--- a/tests/fakes/gateway_world/world_caller.h
+++ b/tests/fakes/gateway_world/world_caller.h
@@ -51,6 +51,10 @@
     /// consists of a part of the session and one of the request.
     auto set_prompt(std::string parts) -> void;
 
+    /// Sets the body of the requests that have one; by default it names the
+    /// request.
+    auto set_body(std::string text) -> void;
+
     /// Waits until a call has ended.
     /// \return False if it has not ended within the callers' timeout.
     auto wait(const call_record& record) -> bool;
@@ -73,6 +77,7 @@
     std::uint64_t sessions = 0;
     std::uint64_t shared_tokens = 60;
     std::string prompt;
+    std::string body;
 };
 
 } // namespace almondtiller::gateway_world
--- a/tests/unit/dispatch/prompt_quarantine_test.cpp
+++ b/tests/unit/dispatch/prompt_quarantine_test.cpp
@@ -47,6 +47,42 @@
     EXPECT_TRUE(shared_parts({}).empty());
 }
 
+TEST(prompt_quarantine, repeats_of_a_request_have_the_same_fingerprint)
+{
+    auto request = serving::caller_request();
+    request.id = core::request_id("1");
+    request.target = "/a";
+    request.body = "b";
+    auto repeat = request;
+    repeat.id = core::request_id("2");
+    repeat.deadline = milliseconds(500);
+    EXPECT_EQ(request_fingerprint(repeat), request_fingerprint(request));
+    auto other = request;
+    other.target = "/ab";
+    other.body = "";
+    EXPECT_NE(request_fingerprint(other), request_fingerprint(request));
+    auto of_other_caller = request;
+    of_other_caller.api_key = "k";
+    EXPECT_NE(request_fingerprint(of_other_caller),
+              request_fingerprint(request));
+}
+
+TEST(prompt_quarantine, an_answer_ends_the_suspicion)
+{
+    auto quarantine = prompt_quarantine();
+    EXPECT_FALSE(quarantine.is_suspected(fatal_part));
+    report(quarantine, crash_of(1, begin, {{fatal_part}}));
+    EXPECT_TRUE(quarantine.is_suspected(fatal_part));
+    quarantine.on_answers({{fatal_part, begin + seconds(1)}},
+                          begin + seconds(1));
+    EXPECT_FALSE(quarantine.is_suspected(fatal_part));
+    for (auto crash = 2; crash <= 4; ++crash) {
+        report(quarantine,
+               crash_of(crash, begin + seconds(crash), {{fatal_part}}));
+    }
+    EXPECT_TRUE(quarantine.parts().empty());
+}
+
 // Several requests run at an upstream when it crashes, and nodes report theirs
 // separately. Only the part that is at each crash and never answered is found.
 RC_GTEST_PROP(prompt_quarantine, finds_the_part_before_the_fifth_crash, ())
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -44,6 +44,8 @@
     message.crash->upstream = core::upstream_id("u");
     message.crash->at = sent - core::milliseconds(5);
     message.crash->requests = {{{3, std::nullopt}, {4, sent - answered}}, {}};
+    message.fingerprints = {{5, std::nullopt}, {6, sent - answered}};
+    message.answered_fingerprints = {{7, sent}};
     const auto read = decode_crash(encode(message, sent), received);
     ASSERT_TRUE(read);
     EXPECT_EQ(read.value().answered,
@@ -53,6 +55,20 @@
     EXPECT_EQ(read.value().crash->requests,
               (std::vector<std::vector<dispatch::known_part>>{
                   {{3, std::nullopt}, {4, received - answered}}, {}}));
+    EXPECT_EQ(read.value().fingerprints,
+              (std::vector<dispatch::known_part>{{5, std::nullopt},
+                                                 {6, received - answered}}));
+    EXPECT_EQ(read.value().answered_fingerprints,
+              (std::vector<dispatch::known_part>{{7, received}}));
+}
+
+// Earlier versions send no fingerprints.
+TEST(peer_messages, read_a_crash_without_fingerprints)
+{
+    const auto bytes = std::string("\x92\xc0\x90", 3);
+    const auto read = decode_crash(bytes, core::time_point());
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value(), crash_message());
 }
 
 TEST(peer_messages, carry_the_status_of_a_node)
@@ -65,6 +81,7 @@
     status.revisions = {4, 5, 6, 7};
     status.configuration = 9;
     status.quarantined = {3, 7};
+    status.quarantined_requests = {5};
     const auto read = decode_status(encode(status));
     ASSERT_TRUE(read);
     EXPECT_EQ(read.value(), status);
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -211,6 +211,13 @@
         }
     }
 
+    auto set_fatal_body(const std::string& body) -> void
+    {
+        for (const auto& [id, upstream] : this->world.upstreams) {
+            upstream->set_fatal_body(body);
+        }
+    }
+
     /// Sends a resumable request.
     /// \param mode The mode of the upstream that receives it first; all others
     ///        work.
@@ -858,6 +865,45 @@
     EXPECT_EQ(this->world.journal.crashes.size(), 3U);
 }
 
+// A request can crash each upstream that runs it, while nothing but its path,
+// caller and body tells it from others.
+TEST_F(whole_path_test,
+       a_plain_request_that_crashes_upstreams_is_not_sent_again_for_long)
+{
+    this->set_fatal_body("dead");
+    for (auto round = std::size_t(0); round < 8; ++round) {
+        this->caller.set_body("dead");
+        this->send_request("book", round % this->nodes.size());
+        this->world.run_for(core::milliseconds(1200));
+        this->caller.set_body("");
+        EXPECT_EQ(this->send_request("book", round % this->nodes.size()).status,
+                  200);
+    }
+    EXPECT_LE(this->world.journal.crashes.size(), 4U);
+    this->caller.set_body("dead");
+    EXPECT_EQ(this->send_request("book").status, 503);
+    this->expect_no_faults();
+}
+
+TEST_F(whole_path_test,
+       a_stream_that_crashes_upstreams_is_not_sent_again_for_long)
+{
+    this->set_fatal_body("dead");
+    for (auto round = std::size_t(0); round < 8; ++round) {
+        const auto at = round % this->nodes.size();
+        this->caller.set_prompt("9b:40");
+        this->caller.set_body("dead");
+        this->send_request("stream", at);
+        this->world.run_for(core::milliseconds(1000));
+        this->caller.set_body("");
+        EXPECT_EQ(this->send_request("stream", at).status, 200);
+    }
+    EXPECT_LE(this->world.journal.crashes.size(), 4U);
+    this->caller.set_body("dead");
+    EXPECT_EQ(this->send_request("stream").status, 503);
+    this->expect_no_faults();
+}
+
 TEST_F(whole_path_test, a_new_node_rejects_the_prompts_that_crash_upstreams)
 {
     this->set_fatal_part("dead");
