Count quick crashes by repeats of one request separately

Cause: crashes within 150 ms count once, since upstreams may be lost together. That is right for prompt parts that many requests share, which stand at several upstreams at any time.

The period is zero for whole requests. What protects popular lookups when a zone is lost is that they were answered before: all answers are recorded now, so that five crashes and ten seconds of silence are needed for them.

--- a/src/libs/dispatch/prompt_quarantine.cpp
+++ b/src/libs/dispatch/prompt_quarantine.cpp
@@ -22,9 +22,6 @@
 /// Nodes report a crash separately, each with its own requests. An upstream
 /// takes longer than this to return.
 constexpr auto same_crash_period = core::milliseconds(1500);
-/// Upstreams that crash within this time may have been lost together, with a
-/// zone or a rack, so their crashes count once.
-constexpr auto common_cause_period = core::milliseconds(150);
 constexpr auto max_crashes = std::size_t(64);
 constexpr auto max_requests = std::size_t(256);
 constexpr auto crash_retention = std::chrono::minutes(30);
@@ -63,6 +60,10 @@
     return routing::placement_hash(text);
 }
 
+prompt_quarantine::prompt_quarantine(core::duration period)
+    : common_cause_period(period)
+{}
+
 auto prompt_quarantine::answered_at(std::uint64_t part) const
     -> std::optional<core::time_point>
 {
@@ -136,7 +137,7 @@
     auto last = std::optional<core::time_point>();
     for (const auto& crash : this->crashes) {
         const auto is_separate =
-            !last || distance(crash.at, *last) >= common_cause_period;
+            !last || distance(crash.at, *last) >= this->common_cause_period;
         if (is_separate && (!answered || crash.at > *answered) &&
             std::any_of(crash.requests.begin(), crash.requests.end(),
                         has_part)) {
@@ -248,16 +249,6 @@
     return cleared;
 }
 
-auto prompt_quarantine::has_crashes() const -> bool
-{
-    return !this->crashes.empty();
-}
-
-auto prompt_quarantine::is_suspected(std::uint64_t part) const -> bool
-{
-    return this->is_active(part) || this->count_crashes(part) > 0;
-}
-
 auto prompt_quarantine::newer_answers(const upstream_crash& crash) const
     -> std::vector<known_part>
 {
--- a/src/libs/dispatch/prompt_quarantine.h
+++ b/src/libs/dispatch/prompt_quarantine.h
@@ -58,6 +58,13 @@
 class prompt_quarantine
 {
 public:
+    /// \param common_cause_period Upstreams that crash within this time may
+    /// have
+    ///        been lost together, with a zone or a rack, so their crashes count
+    ///        once. Zero where hardly two upstreams have the same part at a
+    ///        time.
+    explicit prompt_quarantine(core::duration common_cause_period);
+
     /// A crash was detected here or reported by another node.
     auto on_crash(const upstream_crash& crash) -> void;
 
@@ -72,13 +79,6 @@
     auto on_answers(const std::vector<known_part>& parts, core::time_point now)
         -> std::vector<known_part>;
 
-    /// \return Whether any crash is on record.
-    [[nodiscard]] auto has_crashes() const -> bool;
-
-    /// \return Whether the part is in quarantine or was at a crash since the
-    ///         last answer with it.
-    [[nodiscard]] auto is_suspected(std::uint64_t part) const -> bool;
-
     /// \return The answers with parts of the crash's requests that are known
     ///         here and more recent than those known to its reporter.
     [[nodiscard]] auto newer_answers(const upstream_crash& crash) const
@@ -133,6 +133,7 @@
     [[nodiscard]] auto is_conclusive(std::uint64_t part,
                                      core::time_point at) const -> bool;
 
+    core::duration common_cause_period;
     std::deque<known_crash> crashes;
     std::map<std::uint64_t, entry> entries;
     /// The more recent answers; the older ones are dropped all at once.
--- a/src/services/gateway/crash_monitor.cpp
+++ b/src/services/gateway/crash_monitor.cpp
@@ -16,6 +16,8 @@
 constexpr auto share_timeout = core::milliseconds(2000);
 /// Time within which all nodes report a crash.
 constexpr auto report_period = core::milliseconds(200);
+/// Within this time the nodes notice the loss of a whole zone or rack.
+constexpr auto common_loss_period = core::milliseconds(150);
 constexpr auto max_requests_per_crash = std::size_t(64);
 
 /// \return Whether the upstream has ended the connection.
@@ -77,6 +79,8 @@
       mesh(peers),
       log(logger),
       on_quarantine(std::move(hook)),
+      parts(common_loss_period),
+      requests(core::duration::zero()),
       decision_timer(loop, [this]() { this->decide(); })
 {}
 
@@ -215,14 +219,8 @@
     for (const auto part : dispatch::shared_parts(request.prompt)) {
         answers.answered.push_back({part, now});
     }
-    // Most requests are never repeated, so that only the answers to suspected
-    // ones are recorded.
-    if (this->requests.has_crashes()) {
-        const auto fingerprint = dispatch::request_fingerprint(request);
-        if (this->requests.is_suspected(fingerprint)) {
-            answers.answered_fingerprints.push_back({fingerprint, now});
-        }
-    }
+    answers.answered_fingerprints.push_back(
+        {dispatch::request_fingerprint(request), now});
     this->learn_answers(answers, "self");
 }
 
--- a/tests/unit/dispatch/prompt_quarantine_test.cpp
+++ b/tests/unit/dispatch/prompt_quarantine_test.cpp
@@ -67,27 +67,31 @@
               request_fingerprint(request));
 }
 
-TEST(prompt_quarantine, an_answer_ends_the_suspicion)
+// Nodes and callers repeat a request within milliseconds, so that its crashes
+// are as close as those of a lost rack.
+TEST(prompt_quarantine, quick_crashes_count_separately_without_a_common_cause)
 {
-    auto quarantine = prompt_quarantine();
-    EXPECT_FALSE(quarantine.is_suspected(fatal_part));
-    report(quarantine, crash_of(1, begin, {{fatal_part}}));
-    EXPECT_TRUE(quarantine.is_suspected(fatal_part));
-    quarantine.on_answers({{fatal_part, begin + seconds(1)}},
-                          begin + seconds(1));
-    EXPECT_FALSE(quarantine.is_suspected(fatal_part));
-    for (auto crash = 2; crash <= 4; ++crash) {
-        report(quarantine,
-               crash_of(crash, begin + seconds(crash), {{fatal_part}}));
+    auto requests = prompt_quarantine(core::duration::zero());
+    auto parts = prompt_quarantine(milliseconds(150));
+    auto popular = prompt_quarantine(core::duration::zero());
+    popular.on_answers({{fatal_part, begin}}, begin);
+    for (auto number = 1; number <= 3; ++number) {
+        const auto crash =
+            crash_of(number, begin + milliseconds(40 * number), {{fatal_part}});
+        report(requests, crash);
+        report(parts, crash);
+        report(popular, crash);
     }
-    EXPECT_TRUE(quarantine.parts().empty());
+    EXPECT_EQ(requests.parts(), part_hashes{fatal_part});
+    EXPECT_TRUE(parts.parts().empty());
+    EXPECT_TRUE(popular.parts().empty()) << "it was answered before";
 }
 
 // Several requests run at an upstream when it crashes, and nodes report theirs
 // separately. Only the part that is at each crash and never answered is found.
 RC_GTEST_PROP(prompt_quarantine, finds_the_part_before_the_fifth_crash, ())
 {
-    auto quarantine = prompt_quarantine();
+    auto quarantine = prompt_quarantine(milliseconds(150));
     auto now = begin;
     auto next_part = std::uint64_t(100);
     auto found_at = 0;
@@ -128,7 +132,7 @@
 TEST(prompt_quarantine, a_part_that_other_requests_share_is_not_blamed)
 {
     for (const auto is_answered : {false, true}) {
-        auto quarantine = prompt_quarantine();
+        auto quarantine = prompt_quarantine(milliseconds(150));
         if (is_answered) {
             quarantine.on_answers({{system_part, {}}}, begin);
         }
@@ -148,7 +152,7 @@
 TEST(prompt_quarantine, upstreams_that_crash_together_do_not_blame_a_part)
 {
     for (const auto is_answered : {false, true}) {
-        auto quarantine = prompt_quarantine();
+        auto quarantine = prompt_quarantine(milliseconds(150));
         if (is_answered) {
             quarantine.on_answers({{system_part, {}}}, begin);
         }
@@ -165,7 +169,7 @@
 TEST(prompt_quarantine,
      waits_for_one_more_crash_if_a_later_part_may_be_the_cause)
 {
-    auto quarantine = prompt_quarantine();
+    auto quarantine = prompt_quarantine(milliseconds(150));
     report(quarantine, crash_of(0, begin, {{system_part, 100}}));
     for (auto crash = 1; crash <= 3; ++crash) {
         const auto now = begin + seconds(crash);
@@ -177,7 +181,7 @@
 // Another request was at the upstreams, and another node reports it first.
 TEST(prompt_quarantine, a_request_that_is_reported_first_is_not_blamed)
 {
-    auto quarantine = prompt_quarantine();
+    auto quarantine = prompt_quarantine(milliseconds(150));
     for (auto crash = 0; crash < 3; ++crash) {
         const auto now = begin + seconds(crash);
         const auto own = 100 + std::uint64_t(crash);
@@ -192,7 +196,7 @@
 // The node that reports a crash has seen no answer with the part, others have.
 TEST(prompt_quarantine, tells_the_reporter_of_newer_answers)
 {
-    auto quarantine = prompt_quarantine();
+    auto quarantine = prompt_quarantine(milliseconds(150));
     quarantine.on_answers({{system_part, begin}}, begin);
     const auto now = begin + seconds(1);
     auto reported = crash_of(1, now, {{system_part, fatal_part}});
@@ -206,7 +210,7 @@
 // answered between the crashes.
 TEST(prompt_quarantine, an_answered_part_is_not_blamed_for_many_crashes)
 {
-    auto quarantine = prompt_quarantine();
+    auto quarantine = prompt_quarantine(milliseconds(150));
     for (auto crash = 0; crash < 40; ++crash) {
         const auto now = begin + seconds(crash);
         EXPECT_TRUE(
@@ -217,7 +221,7 @@
 
 TEST(prompt_quarantine, one_crash_that_several_nodes_report_counts_once)
 {
-    auto quarantine = prompt_quarantine();
+    auto quarantine = prompt_quarantine(milliseconds(150));
     for (auto number = 0; number < 10; ++number) {
         EXPECT_TRUE(
             report(quarantine, crash_of(1, begin, {{fatal_part}})).empty());
@@ -226,7 +230,7 @@
 
 TEST(prompt_quarantine, answers_known_to_another_node_clear_a_part)
 {
-    auto quarantine = prompt_quarantine();
+    auto quarantine = prompt_quarantine(milliseconds(150));
     for (auto crash = 0; crash < 5; ++crash) {
         const auto now = begin + seconds(crash);
         auto reported = crash_of(crash, now, {{system_part}});
@@ -237,7 +241,7 @@
 
 TEST(prompt_quarantine, an_answer_releases_a_part)
 {
-    auto quarantine = prompt_quarantine();
+    auto quarantine = prompt_quarantine(milliseconds(150));
     quarantine.adopt({fatal_part}, begin);
     EXPECT_EQ(quarantine.find({system_part, fatal_part}, begin), fatal_part);
     const auto later = begin + seconds(1);
@@ -252,7 +256,7 @@
 TEST(prompt_quarantine, ends_some_time_after_the_last_request)
 {
     constexpr auto minute = std::chrono::minutes(1);
-    auto quarantine = prompt_quarantine();
+    auto quarantine = prompt_quarantine(milliseconds(150));
     for (auto crash = 0; crash < 3; ++crash) {
         const auto now = begin + seconds(crash);
         report(quarantine, crash_of(crash, now, {{fatal_part}}));
