--- a/src/libs/dispatch/prompt_quarantine.h
+++ b/src/libs/dispatch/prompt_quarantine.h
@@ -58,11 +58,9 @@
 class prompt_quarantine
 {
 public:
-    /// \param common_cause_period Upstreams that crash within this time may
-    /// have
-    ///        been lost together, with a zone or a rack, so their crashes count
-    ///        once. Zero where hardly two upstreams have the same part at a
-    ///        time.
+    /// \param common_cause_period Crashes within this time count once, because
+    ///        the upstreams may have been lost together, with a zone or a rack.
+    ///        Zero if few parts are at several upstreams at the same time.
     explicit prompt_quarantine(core::duration common_cause_period);
 
     /// A crash was detected here or reported by another node.
--- a/src/libs/dispatch/serving_state.cpp
+++ b/src/libs/dispatch/serving_state.cpp
@@ -129,15 +129,15 @@
     std::erase_if(this->announcements, [&](const auto& item) {
         const auto& [id, announcement] = item;
         const auto is_registered = this->known.contains(id);
-        const auto is_answered =
+        const auto is_superseded =
             announcement.restart_seen_at &&
             *announcement.restart_seen_at + restart_confirmation <= now;
         const auto is_outdated =
             (!is_registered || !announcement.started_ms) &&
             announcement.announced_at + statement_retention <= now;
         is_changed =
-            is_changed || (is_registered && (is_answered || is_outdated));
-        return is_answered || is_outdated;
+            is_changed || (is_registered && (is_superseded || is_outdated));
+        return is_superseded || is_outdated;
     });
     if (is_changed) {
         this->cached_counts.reset();
--- a/src/libs/dispatch/serving_state.h
+++ b/src/libs/dispatch/serving_state.h
@@ -51,10 +51,11 @@
 /// the platform.
 constexpr auto reappearance_period = core::milliseconds(2000);
 
-/// Time for which a restarted process stays out of use if the upstream had
-/// announced its leaving. Only the store tells of restarts, and may do so late,
-/// so that the announcement can be that of the new process. If it is, the entry
-/// is draining or gone within this time, which is that of three heartbeats.
+/// Time for which a restarted process gets no work if the upstream had
+/// announced that it is about to stop. Restarts are known from the store only,
+/// which may report them late, so the announcement may be that of the new
+/// process. In that case its entry is draining or removed within this time,
+/// which is more than three heartbeat intervals.
 constexpr auto restart_confirmation = core::milliseconds(4000);
 
 /// A node's view of the configuration in force, the upstreams and the
@@ -194,8 +195,8 @@
     [[nodiscard]] auto counts() const -> const upstream_counts&;
     [[nodiscard]] auto with_limit(known_upstream known) const -> known_upstream;
     [[nodiscard]] auto is_usable(const known_upstream& known) const -> bool;
-    /// Records that another process than the one which announced its leaving is
-    /// registered under its id.
+    /// Records that a process other than the announcing one is registered under
+    /// the id of an upstream.
     auto note_restart(const serving::upstream& upstream, core::time_point now)
         -> void;
     /// Ends announcements that no longer apply.
--- a/src/services/gateway/crash_monitor.cpp
+++ b/src/services/gateway/crash_monitor.cpp
@@ -48,8 +48,8 @@
     return crash;
 }
 
-/// \return The hashes of a quarantine that other nodes are told. They are sent
-///         with each status of the node.
+/// \return The hashes of a quarantine that are reported to other nodes, with
+///         each status of this node.
 auto reported_hashes(const dispatch::prompt_quarantine& quarantine)
     -> dispatch::part_hashes
 {
--- a/src/services/gateway/crash_monitor.h
+++ b/src/services/gateway/crash_monitor.h
@@ -53,9 +53,9 @@
                const dispatch::part_hashes& requests) -> void;
     auto expire() -> void;
 
-    /// \return The parts in quarantine, those that other nodes are told.
+    /// \return The parts in quarantine, as reported to other nodes.
     [[nodiscard]] auto quarantined_parts() const -> dispatch::part_hashes;
-    /// \return The fingerprints in quarantine, those that other nodes are told.
+    /// \return The fingerprints in quarantine, as reported to other nodes.
     [[nodiscard]] auto quarantined_requests() const -> dispatch::part_hashes;
     /// \return The number of crashes that this node has detected.
     [[nodiscard]] auto crash_count() const -> std::uint64_t;
@@ -64,7 +64,8 @@
     auto probe(const serving::upstream& upstream) -> void;
     auto on_probed(const core::upstream_id& upstream, std::error_code error)
         -> void;
-    /// Applies a crash, which the message has.
+    /// Applies the crash of a message.
+    /// \pre The message has a crash.
     auto apply(const crash_message& message) -> void;
     auto decide() -> void;
     /// \return The answers of the message with parts and fingerprints that were
--- a/src/services/gateway/store_mirror.h
+++ b/src/services/gateway/store_mirror.h
@@ -134,6 +134,8 @@
     /// The next watch does not wait: it checks whether the store answers.
     bool must_probe = false;
     bool connected = false;
+    /// Whether the current call checks if the store has failed, after the
+    /// connection of a waiting watch has ended.
     bool is_checking_cut = false;
     core::time_point failed_at;
     /// The last failed call, or the first that succeeded after it.
