Log why a silent attempt is cancelled

Cause: none here, the logic is the same. A silent attempt that gave way to its replacement was logged as attempt_broken with a timeout, like one whose upstream failed, so that the record could not tell a replacement that answers from one that has not. The line silent_attempt_cancelled names the reason, the replacement and how long that one has had the request.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -128,7 +128,7 @@
         this->keep_silent_attempt();
     }
     if (!is_failure(this->verdict)) {
-        this->cancel_held_attempt();
+        this->cancel_held_attempt("replacement_answers");
     }
     this->head = std::move(answer);
     this->is_stream = is_success(this->verdict.status) &&
--- a/src/services/gateway/request_end.cpp
+++ b/src/services/gateway/request_end.cpp
@@ -127,7 +127,7 @@
     if (this->call) {
         std::exchange(this->call, nullptr)->cancel();
     }
-    this->cancel_held_attempt();
+    this->cancel_held_attempt("request_ended");
     for (const auto number : std::exchange(this->stage_numbers, {})) {
         this->shared.dispatch.cancel(number);
     }
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -25,7 +25,8 @@
       deadline_timer(context.event_loop, [this]() { this->on_deadline(); }),
       progress_timer(context.event_loop,
                      [this]() { this->on_progress_timeout(); }),
-      hold_timer(context.event_loop, [this]() { this->cancel_held_attempt(); })
+      hold_timer(context.event_loop,
+                 [this]() { this->cancel_held_attempt("hold_time_over"); })
 {
     this->priority = this->route.priority;
     if (workspace_config != nullptr) {
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -108,8 +108,8 @@
     auto drop_silent_attempt() -> void;
     /// Sets the silent attempt aside until its replacement has begun to answer.
     auto hold_silent_attempt() -> void;
-    /// Cancels the attempt that was set aside.
-    auto cancel_held_attempt() -> void;
+    /// Cancels the attempt that was set aside, if there is one.
+    auto cancel_held_attempt(std::string_view reason) -> void;
     /// Continues the attempt that was set aside, in place of its replacement.
     auto return_to_held_attempt() -> void;
     /// The replacement of the attempt that was set aside has failed.
--- a/src/services/gateway/request_replacement.cpp
+++ b/src/services/gateway/request_replacement.cpp
@@ -71,7 +71,7 @@
 auto request_flow::hold_silent_attempt() -> void
 {
     this->is_replacing = false;
-    this->cancel_held_attempt();
+    this->cancel_held_attempt("replaced_again");
     this->held = held_attempt{this->attempt_number,
                               *this->upstream,
                               this->sent_at,
@@ -84,15 +84,25 @@
     this->hold_timer.start(max_hold_time);
 }
 
-auto request_flow::cancel_held_attempt() -> void
+auto request_flow::cancel_held_attempt(std::string_view reason) -> void
 {
     this->hold_timer.stop();
-    if (this->held) {
-        const auto silent = std::exchange(this->held, std::nullopt);
-        silent->call->cancel();
-        this->log_broken_attempt(silent->upstream.id,
-                                 http1::http1_errc::timed_out, true);
+    if (!this->held) {
+        return;
     }
+    const auto silent = std::exchange(this->held, std::nullopt);
+    silent->call->cancel();
+    this->shared.log.write(
+        severity::notice, "silent_attempt_cancelled",
+        {{"request", this->request.id.str()},
+         {"upstream", silent->upstream.id.str()},
+         {"reason", std::string(reason)},
+         {"replaced_by", this->last_upstream.str()},
+         {"replaced_ms",
+          ms_text(this->shared.event_loop.now() - this->sent_at)},
+         {"events", std::to_string(this->events.event_count())},
+         {"attempts", std::to_string(this->attempts)},
+         {"elapsed_ms", this->elapsed_ms()}});
 }
 
 auto request_flow::return_to_held_attempt() -> void
@@ -138,7 +148,7 @@
         !is_failure(adapter::decode_verdict(answer))) {
         return false;
     }
-    this->cancel_held_attempt();
+    this->cancel_held_attempt("error_answer");
     return true;
 }
 
