Let a loop end while a connection is being opened

What operators saw: nothing yet; found by the teardown of a new test. A process whose event loop is destroyed while a connection attempt is pending ends with SIGABRT.

Cause: the loop closes all handles, which cancels the attempt, and its callback destroys a timer and a socket whose handles are closed already; libuv asserts that this happens once.

Evidence: a_loop_can_end_while_a_connection_is_being_opened fails on the code before with "Assertion !uv__is_closing(handle)" in uv_close.

Change: a handle that the loop has closed is left to it.

--- a/src/libs/event/tcp_stream.cpp
+++ b/src/libs/event/tcp_stream.cpp
@@ -148,9 +148,14 @@
     this->on_bytes = nullptr;
     this->on_end = nullptr;
     this->on_drained = nullptr;
-    uv_close(
-        reinterpret_cast<uv_handle_t*>(&this->handle),
-        [](uv_handle_t* handle) { delete static_cast<state*>(handle->data); });
+    auto* const native = reinterpret_cast<uv_handle_t*>(&this->handle);
+    if (uv_is_closing(native) != 0) {
+        // The loop is being destroyed and still refers to the handle.
+        return;
+    }
+    uv_close(native, [](uv_handle_t* handle) {
+        delete static_cast<state*>(handle->data);
+    });
 }
 
 auto tcp_stream::state::end(std::error_code error) -> void
--- a/src/libs/event/timer.cpp
+++ b/src/libs/event/timer.cpp
@@ -35,9 +35,14 @@
 timer::~timer()
 {
     this->data->action = nullptr;
-    uv_close(
-        reinterpret_cast<uv_handle_t*>(&this->data->handle),
-        [](uv_handle_t* handle) { delete static_cast<state*>(handle->data); });
+    auto* const native = reinterpret_cast<uv_handle_t*>(&this->data->handle);
+    if (uv_is_closing(native) != 0) {
+        // The loop is being destroyed and still refers to the handle.
+        return;
+    }
+    uv_close(native, [](uv_handle_t* handle) {
+        delete static_cast<state*>(handle->data);
+    });
 }
 
 auto timer::start(core::milliseconds delay) -> void
--- a/tests/unit/event/tcp_stream_test.cpp
+++ b/tests/unit/event/tcp_stream_test.cpp
@@ -169,6 +169,18 @@
     EXPECT_TRUE(*this->end);
 }
 
+// Closing a handle twice aborts the process.
+TEST_F(tcp_stream_test, a_loop_can_end_while_a_connection_is_being_opened)
+{
+    auto own_loop = std::make_unique<loop>(this->clock);
+    auto error = std::error_code();
+    tcp_stream::connect(*own_loop, this->listener.endpoint(),
+                        core::milliseconds(1000),
+                        [&error](const auto&, auto cause) { error = cause; });
+    own_loop.reset();
+    EXPECT_EQ(error, std::errc::operation_canceled);
+}
+
 TEST_F(tcp_stream_test, calls_no_hook_after_close)
 {
     this->connect();
