Set a silent attempt aside until its replacement has the request

What callers saw: a stream of a resumable route that ended without its last events although its upstream was sound and only silent for a moment.

Cause: the silent attempt was cancelled 200 ms after its replacement had been granted. A replacement that stands still accepts no connection, which shows after 300 ms only; by then there was no attempt to return to, and a refused placement cut the stream.

Change: the time runs from the moment at which the request has been written to an open connection (pool_hooks::on_sent). Until then the replacement can't run the request, so that it is at one upstream only, and a failed connection returns to the silent attempt as before.

--- a/src/libs/http1/client_pool.cpp
+++ b/src/libs/http1/client_pool.cpp
@@ -139,6 +139,9 @@
     };
     connection->call(std::move(request), options.has_no_body,
                      std::move(callbacks), options.largest_body);
+    if (hooks.on_sent) {
+        hooks.on_sent();
+    }
 }
 
 auto client_pool::start_timeout(const std::shared_ptr<pooled_call>& call,
--- a/src/libs/http1/client_pool.h
+++ b/src/libs/http1/client_pool.h
@@ -40,6 +40,8 @@
 /// Hooks of a pooled call.
 struct pool_hooks
 {
+    /// Called when the request has been written to an open connection.
+    std::function<void()> on_sent;
     std::function<void(response_head)> on_head;
     std::function<void(std::string_view)> on_body;
     /// \param sent False if no byte of the request can have reached the server.
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -73,6 +73,9 @@
     auto hooks = http1::pool_hooks();
     const auto number = ++this->last_attempt_number;
     this->attempt_number = number;
+    hooks.on_sent = [self, number]() {
+        self->on_sent(number);
+    };
     hooks.on_head = [self, number](http1::response_head answer) {
         if (!self->is_failure_of_held(number, answer) &&
             self->is_current(number)) {
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -92,6 +92,7 @@
     auto give_up(std::string_view reason, core::milliseconds retry_after)
         -> void;
     auto send(const serving::upstream& upstream) -> void;
+    auto on_sent(std::uint64_t number) -> void;
     auto on_head(http1::response_head head) -> void;
     auto on_body(std::string_view bytes) -> void;
     auto on_done(std::error_code error, bool sent) -> void;
@@ -106,7 +107,8 @@
     auto keep_silent_attempt() -> void;
     /// The silent attempt has failed while another upstream is being sought.
     auto drop_silent_attempt() -> void;
-    /// Sets the silent attempt aside until its replacement has begun to answer.
+    /// Sets the silent attempt aside until its replacement has begun to answer,
+    /// or has had the request for max_hold_time.
     auto hold_silent_attempt() -> void;
     /// Cancels the attempt that was set aside, if there is one.
     auto cancel_held_attempt(std::string_view reason) -> void;
--- a/src/services/gateway/request_replacement.cpp
+++ b/src/services/gateway/request_replacement.cpp
@@ -81,7 +81,15 @@
                               std::exchange(this->body, {}),
                               this->events.incomplete_event(),
                               this->is_stream};
-    this->hold_timer.start(max_hold_time);
+}
+
+auto request_flow::on_sent(std::uint64_t number) -> void
+{
+    // Until then the replacement can't run the request, and may turn out to be
+    // unreachable.
+    if (this->held && number == this->attempt_number) {
+        this->hold_timer.start(max_hold_time);
+    }
 }
 
 auto request_flow::cancel_held_attempt(std::string_view reason) -> void
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -96,6 +96,16 @@
     this->mode = wanted;
 }
 
+auto fake_upstream::set_silence(core::milliseconds length) -> void
+{
+    this->silence_length = length;
+}
+
+auto fake_upstream::block() -> void
+{
+    this->server.block();
+}
+
 auto fake_upstream::set_framing(answer_framing wanted) -> void
 {
     this->framing = wanted;
@@ -198,11 +208,12 @@
     const auto is_free = request.target == "/almondtiller/stage-free";
     if (this->mode == upstream_mode::rejects_all ||
         (this->mode == upstream_mode::rejects_frees && is_free)) {
-        auto headers = http1::header_list({{"X-Almondtiller-Not-Run", "1"}});
-        if (!this->hold_off.empty()) {
-            headers.add("Retry-After", this->hold_off);
-        }
-        exchange->respond(503, this->with_limit(std::move(headers)), "");
+        this->reject(exchange);
+        return;
+    }
+    if (this->mode == upstream_mode::rejects_late) {
+        this->after(rejection_delay,
+                    [this, exchange]() { this->reject(exchange); });
         return;
     }
     if (this->mode == upstream_mode::endless) {
@@ -262,6 +273,16 @@
     }
 }
 
+auto fake_upstream::reject(const std::shared_ptr<raw_exchange>& exchange)
+    -> void
+{
+    auto headers = http1::header_list({{"X-Almondtiller-Not-Run", "1"}});
+    if (!this->hold_off.empty()) {
+        headers.add("Retry-After", this->hold_off);
+    }
+    exchange->respond(503, this->with_limit(std::move(headers)), "");
+}
+
 auto fake_upstream::send_endless(const std::shared_ptr<raw_exchange>& exchange)
     -> void
 {
@@ -367,10 +388,11 @@
     -> void
 {
     const auto is_late = this->mode == upstream_mode::answers_late;
-    this->after(is_late ? silence : plain_time, [this, request, exchange]() {
-        this->send_answer(this->answer_head(request),
-                          expected_body(request, false), exchange);
-    });
+    this->after(is_late ? this->silence_length : plain_time,
+                [this, request, exchange]() {
+                    this->send_answer(this->answer_head(request),
+                                      expected_body(request, false), exchange);
+                });
 }
 
 auto fake_upstream::send_answer(const http1::header_list& headers,
@@ -394,7 +416,7 @@
 {
     const auto is_pause = this->mode == upstream_mode::pauses_streams &&
                           event == stream_events / 2;
-    return is_pause ? silence : event_gap;
+    return is_pause ? this->silence_length : event_gap;
 }
 
 auto fake_upstream::run_stream(const std::string& request, int first,
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -20,6 +20,7 @@
     aborts_answers, ///< Aborts answers half-way.
     loses_answers,  ///< Aborts answers before they begin.
     rejects_all,    ///< Rejects every request as not run.
+    rejects_late,   ///< Rejects every request as not run, after a while.
     rejects_frees,  ///< Rejects only calls that free results.
     endless,        ///< Sends an answer without end.
     pauses_streams, ///< Sends nothing for a while in the middle of a stream.
@@ -65,9 +66,13 @@
     std::uint64_t last_handle = 0;
 };
 
-/// How long an upstream that pauses streams or answers late is silent.
+/// How long an upstream that pauses streams or answers late is silent, unless
+/// set.
 constexpr auto silence = core::milliseconds(1600);
 
+/// How long a request waits at an upstream that rejects it late.
+constexpr auto rejection_delay = core::milliseconds(300);
+
 /// Number of events of a complete stream.
 constexpr auto stream_events = 6;
 
@@ -113,6 +118,13 @@
     /// and return after a while; never if empty.
     auto set_fatal_body(std::string text) -> void;
 
+    /// Sets how long the upstream is silent when it pauses streams or answers
+    /// late.
+    auto set_silence(core::milliseconds length) -> void;
+
+    /// Closes every connection and accepts no more.
+    auto block() -> void;
+
     /// Sets the address to register instead of its own, such as a proxy's.
     auto set_advertised(std::string address) -> void;
 
@@ -124,6 +136,7 @@
                     const std::shared_ptr<raw_exchange>& exchange) -> void;
     /// Sends about 60 MB a second until the caller closes the connection.
     auto send_endless(const std::shared_ptr<raw_exchange>& exchange) -> void;
+    auto reject(const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto run_stage(const http1::request_message& request,
                    const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto free_results(const http1::request_message& request,
@@ -158,6 +171,7 @@
     std::vector<std::shared_ptr<raw_exchange>> held;
     std::set<std::shared_ptr<event::timer>> timers;
     upstream_mode mode = upstream_mode::works;
+    core::milliseconds silence_length = silence;
     std::optional<answer_framing> framing;
     bool is_leaving = false;
     std::string hold_off;
--- a/tests/fakes/gateway_world/raw_server.cpp
+++ b/tests/fakes/gateway_world/raw_server.cpp
@@ -3,7 +3,9 @@
 #include "event/socket_address.h"
 #include "event/stream_state.h"
 
+#include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <sstream>
 #include <utility>
@@ -238,6 +240,7 @@
 
 auto raw_server::listen() -> void
 {
+    this->unblock();
     this->open_listener = new listener();
     this->open_listener->server = this;
     uv_tcp_init(this->event_loop.native(), &this->open_listener->handle);
@@ -280,8 +283,34 @@
         });
 }
 
+auto raw_server::block() -> void
+{
+    this->close();
+    const auto loopback = event::to_socket_address(this->address()).value();
+    const auto open_socket = [this]() {
+        this->blocked.push_back(
+            socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+        return this->blocked.back();
+    };
+    const auto listening = open_socket();
+    const auto reuse = 1;
+    setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    bind(listening, event::as_sockaddr(loopback), sizeof(sockaddr_in));
+    ::listen(listening, 0);
+    // The kernel drops further connection requests once one waits.
+    connect(open_socket(), event::as_sockaddr(loopback), sizeof(sockaddr_in));
+}
+
+auto raw_server::unblock() -> void
+{
+    for (const auto descriptor : std::exchange(this->blocked, {})) {
+        ::close(descriptor);
+    }
+}
+
 auto raw_server::close() -> void
 {
+    this->unblock();
     if (auto* const closing = std::exchange(this->open_listener, nullptr)) {
         uv_close(reinterpret_cast<uv_handle_t*>(&closing->handle),
                  [](uv_handle_t* handle) {
--- a/tests/fakes/gateway_world/raw_server.h
+++ b/tests/fakes/gateway_world/raw_server.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace almondtiller::gateway_world {
 
@@ -73,17 +74,24 @@
     /// Closes every connection and the listener.
     auto close() -> void;
 
-    /// Listens, after close() at the same address.
+    /// Listens, after close() or block() at the same address.
     auto listen() -> void;
 
+    /// Closes every connection and lets new ones wait, as a process does that
+    /// stands still for long enough.
+    auto block() -> void;
+
 private:
     struct listener;
+    auto unblock() -> void;
     auto on_accept(std::shared_ptr<event::tcp_stream> stream, int descriptor)
         -> void;
 
     event::loop& event_loop;
     handler on_request;
     listener* open_listener = nullptr;
+    /// Sockets of a listener whose queue is full.
+    std::vector<int> blocked;
     std::uint16_t port = 0;
     std::set<std::shared_ptr<raw_connection>> connections;
 };
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -238,9 +238,15 @@
     }
 
     /// Sends a request whose upstream pauses its stream.
-    auto begin_silent_stream(const std::string& path) -> const call_record&
+    auto
+    begin_silent_stream(const std::string& path,
+                        core::milliseconds silence = gateway_world::silence)
+        -> const call_record&
     {
         this->set_model_mode(upstream_mode::pauses_streams);
+        for (const auto& [id, upstream] : this->world.upstreams) {
+            upstream->set_silence(silence);
+        }
         const auto& record =
             this->caller.call(this->nodes[0]->settings.front, path);
         EXPECT_TRUE(this->world.run_until(
@@ -496,6 +502,22 @@
     this->expect_no_faults();
 }
 
+// An upstream that stands still accepts no connection, so that it shows only
+// after a timeout that it can't resume the stream.
+TEST_F(whole_path_test,
+       a_silent_stream_is_kept_while_other_upstreams_accept_no_connection)
+{
+    const auto& record =
+        this->begin_silent_stream("resumable", core::milliseconds(2200));
+    for (auto* other : this->other_models()) {
+        other->block();
+    }
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_TRUE(record.is_complete) << record.body;
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+    this->expect_no_faults();
+}
+
 // A full upstream must not delay the search until the next timeout.
 TEST_F(whole_path_test, another_upstream_is_sought_at_once_after_a_rejection)
 {
