Seek an upstream further for a stream whose silent attempt was cancelled

What callers saw: a stream of a resumable route that ended without its last events although its upstream was sound and only silent for a moment.

Cause: a silent attempt is cancelled when its replacement has had the request for 200 ms, as a request may be at two upstreams for a short time only. If the replacement and all others rejected the request afterwards, or no upstream was granted at once for the next attempt, the stream was cut, with time left for it.

Change: a stream whose silent attempt this node has cancelled seeks an upstream again after the retry delay of the refusal, and less and less often, until its time is over or its route allows no further attempt. Stages that had not ended run again. A stream whose upstream failed is ended at once as before, so that its caller can resume it.

Evidence: a_stream_is_resumed_after_late_rejections, with a longer wait, was cut in 3 of 3 runs of the code before and is complete in 3 of 3 runs now.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -132,6 +132,7 @@
     }
     if (!is_failure(this->verdict)) {
         this->cancel_held_attempt("replacement_answers");
+        this->has_cancelled_silent = false;
     }
     this->head = std::move(answer);
     this->is_stream = is_success(this->verdict.status) &&
@@ -249,7 +250,7 @@
     }
     if (this->rejections > max_retried_rejections) {
         if (this->caller->is_started()) {
-            this->abort_answer("turned_away");
+            this->give_up("turned_away", min_retry_delay);
         } else {
             this->reject("turned_away", min_retry_delay);
         }
--- a/src/services/gateway/request_end.cpp
+++ b/src/services/gateway/request_end.cpp
@@ -32,6 +32,8 @@
                                 {"reason", std::string(reason)},
                                 {"elapsed_ms", this->elapsed_ms()}});
         this->keep_silent_attempt();
+    } else if (this->search_again(reason, retry_after)) {
+        return;
     } else if (this->caller->is_started()) {
         this->abort_answer(reason);
     } else if (this->head && !is_success(this->verdict.status) &&
@@ -47,6 +49,7 @@
 
 auto request_flow::on_deadline() -> void
 {
+    const auto self = this->shared_from_this();
     this->end_incomplete("time_over", gateway_timeout);
 }
 
@@ -101,6 +104,7 @@
     const auto self = this->shared_from_this();
     this->deadline_timer.stop();
     this->progress_timer.stop();
+    this->search_timer.stop();
     this->shared.metrics.count_outcome(event, reason);
     this->shared.metrics.record_latency(event, this->route.kind,
                                         this->shared.event_loop.now() -
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -25,8 +25,8 @@
       deadline_timer(context.event_loop, [this]() { this->on_deadline(); }),
       progress_timer(context.event_loop,
                      [this]() { this->on_progress_timeout(); }),
-      hold_timer(context.event_loop,
-                 [this]() { this->cancel_held_attempt("hold_time_over"); })
+      hold_timer(context.event_loop, [this]() { this->on_hold_time_over(); }),
+      search_timer(context.event_loop, [this]() { this->on_search_timer(); })
 {
     this->priority = this->route.priority;
     if (workspace_config != nullptr) {
@@ -280,6 +280,7 @@
 
 auto request_flow::place(bool is_retry) -> void
 {
+    this->search_timer.stop();
     if (this->stages && !this->stages->is_complete()) {
         this->shared.metrics.count_retry("results_freed");
         this->run_stages();
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -8,6 +8,7 @@
 #include "services/gateway/crash_monitor.h"
 #include "services/gateway/dispatch_client.h"
 #include "services/gateway/event_stream.h"
+#include "services/gateway/flow_limits.h"
 #include "services/gateway/flow_metrics.h"
 #include "services/gateway/stage_plan.h"
 
@@ -110,6 +111,15 @@
     /// Sets the silent attempt aside until its replacement has begun to answer,
     /// or has had the request for max_hold_time.
     auto hold_silent_attempt() -> void;
+    /// Cancels the attempt that was set aside because its replacement has had
+    /// the request for max_hold_time.
+    auto on_hold_time_over() -> void;
+    /// Schedules another search for an upstream for a stream whose silent
+    /// attempt was cancelled although it might have gone on.
+    /// \return False if there is no such stream, or no time for the search.
+    auto search_again(std::string_view reason, core::milliseconds delay)
+        -> bool;
+    auto on_search_timer() -> void;
     /// Cancels the attempt that was set aside, if there is one.
     auto cancel_held_attempt(std::string_view reason) -> void;
     /// Continues the attempt that was set aside, in place of its replacement.
@@ -172,6 +182,7 @@
     event::timer deadline_timer;
     event::timer progress_timer;
     event::timer hold_timer;
+    event::timer search_timer;
     std::optional<stage_plan> stages;
     /// Numbers of the stage work for dispatch_client::cancel().
     std::vector<std::uint64_t> stage_numbers;
@@ -193,6 +204,10 @@
     /// Whether another upstream is sought while the silent attempt is open.
     bool is_replacing = false;
     std::optional<held_attempt> held;
+    /// Whether a silent attempt was cancelled before its replacement answered.
+    bool has_cancelled_silent = false;
+    /// Smallest delay of the next search, doubled by each.
+    core::milliseconds next_search_delay = min_retry_delay;
     std::vector<core::upstream_id> excluded;
     /// Attempts that may have run.
     int attempts = 0;
--- a/src/services/gateway/request_replacement.cpp
+++ b/src/services/gateway/request_replacement.cpp
@@ -92,6 +92,44 @@
     }
 }
 
+auto request_flow::on_hold_time_over() -> void
+{
+    this->has_cancelled_silent = true;
+    this->cancel_held_attempt("hold_time_over");
+}
+
+auto request_flow::search_again(std::string_view reason,
+                                core::milliseconds delay) -> bool
+{
+    const auto left = to_ms(this->deadline - this->shared.event_loop.now());
+    // The delay may be that of other upstreams than the next search finds.
+    const auto wait =
+        std::max(std::min(delay, left / 3), this->next_search_delay);
+    if (!this->has_cancelled_silent || !this->caller->is_started() ||
+        !this->may_retry() || wait + min_time_left >= left) {
+        return false;
+    }
+    this->shared.log.write(severity::notice, "upstream_sought_again",
+                           {{"request", this->request.id.str()},
+                            {"reason", std::string(reason)},
+                            {"wait_ms", ms_text(wait)},
+                            {"elapsed_ms", this->elapsed_ms()}});
+    this->next_search_delay *= 2;
+    if (this->stages && !this->stages->is_complete()) {
+        this->reset_stages();
+    }
+    this->search_timer.start(wait);
+    return true;
+}
+
+auto request_flow::on_search_timer() -> void
+{
+    // Nothing else may keep the request alive while it waits for the timer.
+    const auto self = this->shared_from_this();
+    this->excluded.clear();
+    this->place(true);
+}
+
 auto request_flow::cancel_held_attempt(std::string_view reason) -> void
 {
     this->hold_timer.stop();
--- a/tests/fakes/gateway_world/raw_server.cpp
+++ b/tests/fakes/gateway_world/raw_server.cpp
@@ -7,7 +7,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <sstream>
+#include <system_error>
 #include <utility>
 
 namespace almondtiller::gateway_world {
@@ -295,8 +297,11 @@
     const auto listening = open_socket();
     const auto reuse = 1;
     setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
-    bind(listening, event::as_sockaddr(loopback), sizeof(sockaddr_in));
-    ::listen(listening, 0);
+    if (bind(listening, event::as_sockaddr(loopback), sizeof(sockaddr_in)) !=
+            0 ||
+        ::listen(listening, 0) != 0) {
+        throw std::system_error(errno, std::generic_category(), "block");
+    }
     // The kernel drops further connection requests once one waits.
     connect(open_socket(), event::as_sockaddr(loopback), sizeof(sockaddr_in));
 }
--- a/tests/fakes/gateway_world/raw_server.h
+++ b/tests/fakes/gateway_world/raw_server.h
@@ -78,7 +78,7 @@
     auto listen() -> void;
 
     /// Closes every connection and lets new ones wait, as a process does that
-    /// stands still for long enough.
+    /// stands still until its queue of connections is full.
     auto block() -> void;
 
 private:
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -518,6 +518,46 @@
     this->expect_no_faults();
 }
 
+// The silent attempt is cancelled once another upstream has taken the request.
+// If all others reject it afterwards, the stream can't return to the first.
+TEST_F(whole_path_test, a_stream_is_resumed_after_late_rejections)
+{
+    const auto& record =
+        this->begin_silent_stream("resumable", core::milliseconds(8000));
+    this->world.run_for(core::milliseconds(100));
+    this->set_model_mode(upstream_mode::rejects_late);
+    ASSERT_TRUE(this->world.run_until(
+        [this]() { return this->world.journal.arrivals.size() == 4; }));
+    // The last of the three others still rejects the request.
+    this->set_model_mode(upstream_mode::works);
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_TRUE(record.is_complete) << record.body;
+    this->expect_no_faults();
+}
+
+// Only its timer refers to a request that waits to search again.
+TEST_F(whole_path_test, a_stream_ends_if_another_search_fails_at_once)
+{
+    const auto& record =
+        this->begin_silent_stream("resumable", core::milliseconds(8000));
+    this->world.run_for(core::milliseconds(100));
+    this->set_model_mode(upstream_mode::rejects_late);
+    ASSERT_TRUE(this->world.run_until(
+        [this]() { return this->world.journal.arrivals.size() == 4; }));
+    this->world.run_for(gateway_world::rejection_delay +
+                        core::milliseconds(30));
+    EXPECT_FALSE(record.is_done);
+    // Another request learns that no upstream takes any for a while.
+    for (const auto& [id, upstream] : this->world.upstreams) {
+        upstream->set_mode(upstream_mode::rejects_all);
+        upstream->set_hold_off("5");
+    }
+    EXPECT_EQ(this->send_request("stream").status, 503);
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_FALSE(record.is_complete);
+    EXPECT_EQ(this->metric("almondtiller_gateway_requests_in_flight"), 0);
+}
+
 // A full upstream must not delay the search until the next timeout.
 TEST_F(whole_path_test, another_upstream_is_sought_at_once_after_a_rejection)
 {
