Send the last answer of a caller's connection whole before closing it

What callers saw: an answer that ended early, or none at all, on a connection that closes after it (Connection: close, or a node that is leaving). Only the bytes that the kernel took at once arrived.

Cause: server_connection reported its end as soon as the answer was written. The node then dropped its last reference, and the destructor of the stream closed the socket with the rest unsent. Class: a step that can't be undone, taken before its precondition is certain. It needs a full send buffer, as a slow caller or a link that carries a large configuration to other nodes may cause. Found by a review of the incident.

Change: the connection reports its end when its bytes are sent, its peer is gone or the idle timeout is over. A leaving node no longer closes a connection as idle whose answer is unsent.

--- a/src/libs/http1/server_connection.cpp
+++ b/src/libs/http1/server_connection.cpp
@@ -199,6 +199,10 @@
 
 auto server_connection::on_timeout() -> void
 {
+    if (this->is_finishing) {
+        this->close();
+        return;
+    }
     const auto waited = this->event_loop.now() - this->waiting_since;
     const auto left = std::chrono::duration_cast<core::milliseconds>(
         this->timeout_in_force() - waited);
@@ -219,6 +223,9 @@
 
 auto server_connection::on_bytes(std::string_view bytes) -> void
 {
+    if (this->is_finishing) {
+        return;
+    }
     this->parser.feed(bytes);
     if (this->current) {
         if (this->parser.buffered_bytes() > max_pipelined_bytes) {
@@ -270,27 +277,34 @@
 {
     this->current.reset();
     if (!keeps_alive) {
-        this->timeout.stop();
-        this->is_closed = true;
-        // Closing with unread bytes makes the kernel send a reset, which can
-        // discard the response in transit.
-        this->stream->close_when_sent();
-        if (this->options->on_closed) {
-            this->options->on_closed(this->shared_from_this());
-        }
+        this->finish_sending();
         return;
     }
     this->stream->resume_reading();
     this->restart_timer();
     if (this->parser.buffered_bytes() > 0) {
         this->event_loop.post([self = this->shared_from_this()]() {
-            if (!self->is_closed && !self->current) {
+            if (!self->is_closed && !self->is_finishing && !self->current) {
                 self->read_next();
             }
         });
     }
 }
 
+auto server_connection::finish_sending() -> void
+{
+    if (this->stream->pending_bytes() == 0) {
+        this->close();
+        return;
+    }
+    // Unsent bytes are lost when the owner drops the connection, so on_closed
+    // waits for them.
+    this->is_finishing = true;
+    this->timeout.start(this->options->idle_timeout());
+    this->stream->on_drained(
+        [self = this->shared_from_this()]() { self->close(); });
+}
+
 auto server_connection::on_end() -> void
 {
     this->close();
@@ -298,7 +312,8 @@
 
 auto server_connection::close_if_idle() -> void
 {
-    if (!this->current && !this->parser.is_within_request()) {
+    if (!this->current && this->stream->pending_bytes() == 0 &&
+        !this->parser.is_within_request()) {
         this->close();
     }
 }
--- a/src/libs/http1/server_connection.h
+++ b/src/libs/http1/server_connection.h
@@ -67,7 +67,7 @@
     std::function<core::milliseconds()> idle_timeout;
     /// While it returns true, connections are closed after the response.
     std::function<bool()> is_draining;
-    /// Called once, when the connection stops serving requests.
+    /// Called once, when the connection is closed. The owner may drop it then.
     std::function<void(const std::shared_ptr<server_connection>&)> on_closed;
     /// Called before a connection is closed because no request arrived in time.
     /// \param idle_for Time since the last response or since the connection was
@@ -100,6 +100,8 @@
     auto read_next() -> void;
     auto reject(std::error_code error) -> void;
     auto on_exchange_finished(bool keep_alive) -> void;
+    /// Closes the connection once all bytes of its last answer are sent.
+    auto finish_sending() -> void;
     auto restart_timer() -> void;
     [[nodiscard]] auto timeout_in_force() const -> core::milliseconds;
     auto on_timeout() -> void;
@@ -115,6 +117,8 @@
     core::time_point waiting_since;
     bool keep_alive = true;
     bool is_closed = false;
+    /// Whether the connection only waits for its bytes to be sent.
+    bool is_finishing = false;
     bool is_reading_request = false;
 };
 
--- a/tests/unit/http1/connection_test.cpp
+++ b/tests/unit/http1/connection_test.cpp
@@ -230,6 +230,20 @@
     EXPECT_EQ(this->head->status, 413);
 }
 
+// The owner of a connection may drop it as soon as it reports its end.
+TEST_F(connection_test, an_answer_is_sent_whole_before_its_connection_closes)
+{
+    constexpr auto size = std::size_t(12) << 20U;
+    this->answer = [](const auto& exchange) {
+        exchange->respond(200, {}, std::string(size, 'x'));
+    };
+    this->write_raw("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    this->run_until([this]() {
+        return this->requests.size() == 1 && this->connections.empty();
+    });
+    this->run_until([this]() { return this->raw_answer.size() >= size; });
+}
+
 // A late second response must not be matched to the next request.
 TEST_F(connection_test, drops_connections_with_bytes_that_belong_to_no_call)
 {
