Play silences of drawn length and engines that stand still in the soak

Cause: a sound upstream may be silent for a second or so and go on, and may accept no connection meanwhile. The soak paused streams for a fixed 1,600 ms only, and no engine of it stood still.

Change: where streams are paused, each engine's silence is drawn between 1,000 and 3,000 ms. The kernel completes two more connections, further ones wait. None of this excuses a stream from stream_check. The numbers come from a generator of their own with the seed's complement, so that a seed draws the same other faults as before, though timing interleaves them as ever. An engine that stands still is not replaced, as the check could not tell which unread requests its crash disturbs; the replacement drawn then is left out.

--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -106,6 +106,26 @@
     this->server.block();
 }
 
+auto fake_upstream::stand_still() -> void
+{
+    this->is_still = true;
+    this->server.stand_still();
+}
+
+auto fake_upstream::go_on() -> void
+{
+    this->is_still = false;
+    this->server.go_on();
+    for (const auto& action : std::exchange(this->postponed, {})) {
+        action();
+    }
+}
+
+auto fake_upstream::is_standing_still() const -> bool
+{
+    return this->is_still;
+}
+
 auto fake_upstream::set_framing(answer_framing wanted) -> void
 {
     this->framing = wanted;
@@ -169,6 +189,8 @@
 auto fake_upstream::crash() -> void
 {
     this->timers.clear();
+    this->is_still = false;
+    this->postponed.clear();
     this->server.close();
     std::erase_if(this->journal.results, [this](const auto& item) {
         return item.first.starts_with(this->address() + "/");
@@ -183,7 +205,11 @@
     made = std::make_shared<event::timer>(
         this->event_loop, [this, slot, act = std::move(action)]() {
             this->timers.erase(slot->lock());
-            act();
+            if (this->is_still) {
+                this->postponed.push_back(act);
+            } else {
+                act();
+            }
         });
     *slot = made;
     made->start(delay);
@@ -205,6 +231,19 @@
         std::string(request.headers.find("X-Almondtiller-Request-Id"));
     this->journal.arrivals.push_back(
         {id, this->own_id, request.target, this->event_loop.now()});
+    if (this->is_still) {
+        this->postponed.push_back([this, request, id, exchange]() {
+            this->serve(request, id, exchange);
+        });
+    } else {
+        this->serve(request, id, exchange);
+    }
+}
+
+auto fake_upstream::serve(const http1::request_message& request,
+                          const std::string& id,
+                          const std::shared_ptr<raw_exchange>& exchange) -> void
+{
     const auto is_free = request.target == "/almondtiller/stage-free";
     if (this->mode == upstream_mode::rejects_all ||
         (this->mode == upstream_mode::rejects_frees && is_free)) {
@@ -252,7 +291,7 @@
         (!this->fatal_part.empty() && has_part(prompt, this->fatal_part)) ||
         (!this->fatal_body.empty() && request.body == this->fatal_body);
     if (is_fatal) {
-        this->crash_and_return(this->journal.arrivals.back());
+        this->crash_and_return(this->journal.runs.back());
         return;
     }
     if (this->mode == upstream_mode::loses_answers) {
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -125,6 +125,12 @@
     /// Closes every connection and accepts no more.
     auto block() -> void;
 
+    /// Stands still, as a process that gets no processor time: it accepts,
+    /// reads and sends nothing, and keeps its connections and requests.
+    auto stand_still() -> void;
+    auto go_on() -> void;
+    [[nodiscard]] auto is_standing_still() const -> bool;
+
     /// Sets the address to register instead of its own, such as a proxy's.
     auto set_advertised(std::string address) -> void;
 
@@ -134,6 +140,8 @@
 private:
     auto on_request(const http1::request_message& request,
                     const std::shared_ptr<raw_exchange>& exchange) -> void;
+    auto serve(const http1::request_message& request, const std::string& id,
+               const std::shared_ptr<raw_exchange>& exchange) -> void;
     /// Sends about 60 MB a second until the caller closes the connection.
     auto send_endless(const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto reject(const std::shared_ptr<raw_exchange>& exchange) -> void;
@@ -170,6 +178,9 @@
     std::string advertised;
     std::vector<std::shared_ptr<raw_exchange>> held;
     std::set<std::shared_ptr<event::timer>> timers;
+    bool is_still = false;
+    /// What it would have done since it stands still.
+    std::vector<std::function<void()>> postponed;
     upstream_mode mode = upstream_mode::works;
     core::milliseconds silence_length = silence;
     std::optional<answer_framing> framing;
--- a/tests/fakes/gateway_world/raw_server.cpp
+++ b/tests/fakes/gateway_world/raw_server.cpp
@@ -209,14 +209,27 @@
 {
     uv_tcp_t handle{};
     raw_server* server = nullptr;
+    /// Whether libuv holds a connection, and waits until it is accepted.
+    bool has_waiting = false;
 
     auto stream() -> uv_stream_t*
     {
         return reinterpret_cast<uv_stream_t*>(&this->handle);
     }
 
+    auto set_backlog(int length) -> void
+    {
+        auto descriptor = uv_os_fd_t();
+        uv_fileno(reinterpret_cast<uv_handle_t*>(&this->handle), &descriptor);
+        ::listen(descriptor, length);
+    }
+
     auto accept() -> void
     {
+        this->has_waiting = this->server->is_still;
+        if (this->has_waiting) {
+            return;
+        }
         auto* accepted = new event::tcp_stream::state();
         accepted->event_loop = &this->server->event_loop;
         uv_tcp_init(this->handle.loop, &accepted->handle);
@@ -306,6 +319,26 @@
     connect(open_socket(), event::as_sockaddr(loopback), sizeof(sockaddr_in));
 }
 
+auto raw_server::stand_still() -> void
+{
+    this->is_still = true;
+    if (this->open_listener != nullptr) {
+        this->open_listener->set_backlog(0);
+    }
+}
+
+auto raw_server::go_on() -> void
+{
+    this->is_still = false;
+    if (this->open_listener == nullptr) {
+        return;
+    }
+    this->open_listener->set_backlog(accept_backlog);
+    if (this->open_listener->has_waiting) {
+        this->open_listener->accept();
+    }
+}
+
 auto raw_server::unblock() -> void
 {
     for (const auto descriptor : std::exchange(this->blocked, {})) {
@@ -316,6 +349,7 @@
 auto raw_server::close() -> void
 {
     this->unblock();
+    this->is_still = false;
     if (auto* const closing = std::exchange(this->open_listener, nullptr)) {
         uv_close(reinterpret_cast<uv_handle_t*>(&closing->handle),
                  [](uv_handle_t* handle) {
--- a/tests/fakes/gateway_world/raw_server.h
+++ b/tests/fakes/gateway_world/raw_server.h
@@ -81,6 +81,11 @@
     /// stands still until its queue of connections is full.
     auto block() -> void;
 
+    /// Accepts no connections until go_on(); open ones stay. The kernel still
+    /// completes two, and the others wait.
+    auto stand_still() -> void;
+    auto go_on() -> void;
+
 private:
     struct listener;
     auto unblock() -> void;
@@ -90,6 +95,7 @@
     event::loop& event_loop;
     handler on_request;
     listener* open_listener = nullptr;
+    bool is_still = false;
     /// Sockets of a listener whose queue is full.
     std::vector<int> blocked;
     std::uint16_t port = 0;
--- a/tests/fault/soak/soak_test.cpp
+++ b/tests/fault/soak/soak_test.cpp
@@ -62,6 +62,7 @@
     explicit soak_run(std::uint64_t seed,
                       std::map<std::string, double> stated = {})
         : random(seed),
+          silence_random(~seed),
           limits(std::move(stated)),
           folder((std::filesystem::temp_directory_path() /
                   ("almondtiller-soak-" + std::to_string(seed)))
@@ -108,6 +109,9 @@
             if (this->random.below(faults_per_pause) == 0) {
                 this->pause_streams();
             }
+            if (this->silence_random.below(faults_per_pause) == 0) {
+                this->stand_still();
+            }
             this->world.run_for(
                 core::milliseconds(80 + this->random.below(350)));
             this->run_due();
@@ -415,11 +419,34 @@
     {
         for (auto* upstream : this->models()) {
             if (!this->is_proxied(*upstream)) {
+                upstream->set_silence(core::milliseconds(
+                    1000 + this->silence_random.below(2001)));
                 this->set_mode(*upstream, upstream_mode::pauses_streams);
             }
         }
     }
 
+    /// A sound upstream may do nothing for a while and go on. The streams that
+    /// it has or gets then are no exception to the checks.
+    auto stand_still() -> void
+    {
+        auto models = this->models();
+        std::erase_if(models, [this](const auto* upstream) {
+            return this->is_proxied(*upstream);
+        });
+        auto& upstream = *models[this->silence_random.below(models.size())];
+        const auto id = upstream.id();
+        upstream.stand_still();
+        const auto time =
+            core::milliseconds(500 + this->silence_random.below(2001));
+        this->later(time, [this, id]() {
+            const auto found = this->world.upstreams.find(id);
+            if (found != this->world.upstreams.end()) {
+                found->second->go_on();
+            }
+        });
+    }
+
     auto set_any_framing(gateway_world::fake_upstream& upstream) -> void
     {
         static const auto framings =
@@ -443,7 +470,9 @@
     {
         const auto& old = this->any_upstream();
         const auto id = old.id();
-        if (this->is_proxied(old)) {
+        // Requests that it has not read yet would be lost without a record, so
+        // that the check could not tell whose streams the crash disturbs.
+        if (this->is_proxied(old) || old.is_standing_still()) {
             return;
         }
         this->disturb(old, core::milliseconds(0));
@@ -474,6 +503,7 @@
         this->world.store.remove("evacuations", "b");
         for (auto& [id, upstream] : this->world.upstreams) {
             upstream->set_mode(upstream_mode::works);
+            upstream->go_on();
         }
         for (auto& [name, link] : this->proxies) {
             link->set_fault(this->world, R"({"mode":"pass"})");
@@ -561,6 +591,9 @@
     gateway_world::world world;
     gateway_world::world_caller caller{world};
     core::random_source random;
+    /// Apart from the other, so that a seed draws the same faults as without
+    /// these silences.
+    core::random_source silence_random;
     std::map<std::string, double> limits;
     core::time_point limits_bind_from;
     limit_check limit_checks;
