Read a connection to an upstream again after a paused call

What callers saw: a request without an answer until its time was over, after a caller of an earlier answer had read slowly.

Cause: a caller that reads slowly pauses the call to its upstream. If the end of the answer was in the bytes that had been read already, the call ended paused, and its connection went back to the pool with reading stopped. The next request on it ran at the upstream, and its answer was never read.

Change: a connection is read again when its call ends.

Evidence: a_connection_is_read_again_after_a_paused_call waited in vain for 5 s on the code before and passes now; the 23 tests of http1_test pass.

--- a/src/libs/http1/client_connection.cpp
+++ b/src/libs/http1/client_connection.cpp
@@ -137,6 +137,8 @@
         this->reusable = false;
         this->stream->close();
     }
+    // The call may have been paused.
+    this->stream->resume_reading();
     if (callbacks && callbacks->on_done) {
         callbacks->on_done(error);
     }
--- a/tests/unit/http1/connection_test.cpp
+++ b/tests/unit/http1/connection_test.cpp
@@ -230,6 +230,28 @@
     EXPECT_EQ(this->head->status, 413);
 }
 
+// A slow reader pauses a call, whose end may be in the same bytes.
+TEST_F(connection_test, a_connection_is_read_again_after_a_paused_call)
+{
+    this->call();
+    auto hooks = pool_hooks();
+    hooks.on_body = [this](auto) {
+        this->active->pause_reading();
+    };
+    hooks.on_done = [this](auto error, bool) {
+        this->outcome = error;
+    };
+    this->run_until([this]() { return this->outcome.has_value(); });
+    this->outcome.reset();
+    this->active = this->pool.call(
+        {"server", {"127.0.0.1", std::uint16_t(this->listener.port())}},
+        "GET /x HTTP/1.1\r\nHost: a\r\n\r\n", {}, std::move(hooks));
+    this->run_until([this]() { return this->outcome.has_value(); });
+    this->call_and_wait();
+    EXPECT_EQ(this->body, "answer");
+    EXPECT_EQ(this->pool.opened(), 1U);
+}
+
 // The owner of a connection may drop it as soon as it reports its end.
 TEST_F(connection_test, an_answer_is_sent_whole_before_its_connection_closes)
 {
