Check that the listener of a blocked fake upstream works

Cause: raw_server::block() ignored the result of its connection request, which the linter rejects (bugprone-unused-return-value) and which would let a test pass without the case that it is for.

Change: it throws unless the request waits. The fake is the same otherwise.

--- a/tests/fakes/gateway_world/raw_server.cpp
+++ b/tests/fakes/gateway_world/raw_server.cpp
@@ -310,13 +310,16 @@
     const auto listening = open_socket();
     const auto reuse = 1;
     setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
-    if (bind(listening, event::as_sockaddr(loopback), sizeof(sockaddr_in)) !=
-            0 ||
-        ::listen(listening, 0) != 0) {
+    const auto* address = event::as_sockaddr(loopback);
+    const auto is_listening =
+        bind(listening, address, sizeof(sockaddr_in)) == 0 &&
+        ::listen(listening, 0) == 0;
+    // The kernel drops further connection requests once one waits.
+    if (!is_listening ||
+        (connect(open_socket(), address, sizeof(sockaddr_in)) != 0 &&
+         errno != EINPROGRESS)) {
         throw std::system_error(errno, std::generic_category(), "block");
     }
-    // The kernel drops further connection requests once one waits.
-    connect(open_socket(), event::as_sockaddr(loopback), sizeof(sockaddr_in));
 }
 
 auto raw_server::stand_still() -> void
