Take the temporary folder of the system in the review

Cause: the stand-ins named a folder of their own for temporary files.

Change: they use the system's temporary folder.

--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -1099,8 +1099,9 @@
 
 inline auto make_folder() -> std::filesystem::path
 {
-    char name[] = "/tmp/review-XXXXXX";
-    return mkdtemp(name);
+    auto name =
+        (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+    return mkdtemp(name.data());
 }
 
 /// Ends the script. Threads still use the stand-ins, so none is destroyed.
