--- a/review/standin/late_stage_answer.cpp
+++ b/review/standin/late_stage_answer.cpp
@@ -7,7 +7,9 @@
 
 using namespace review;
 
-constexpr auto run_ms = 40000L;
+/// The engines spoil answers for this long, and pause for as long.
+constexpr auto spoil_ms = 5000L;
+constexpr auto spoil_count = 4;
 /// One answer in this many is sent twice, at three of the five engines.
 constexpr auto answers_per_extra = 33;
 constexpr auto spoiled_engines = 3;
@@ -61,8 +63,11 @@
 class stage_part
 {
 public:
-    stage_part(result_table& all_results, recorder& log, bool spoils)
-        : results(all_results), record(log), is_spoiled(spoils)
+    stage_part(result_table& all_results, recorder& log,
+               std::function<bool()> next_is_sent_twice)
+        : results(all_results),
+          record(log),
+          is_sent_twice(std::move(next_is_sent_twice))
     {}
 
     auto serve(connection& peer, const message& request,
@@ -104,8 +109,7 @@
                         "Content-Type: application/json\r\n"
                         "X-Almondtiller-Engine-Load: 0,0,1\r\n");
         const auto lock = std::lock_guard(this->mutex);
-        if (this->is_spoiled && has_trouble() &&
-            ++this->answers % answers_per_extra == 0) {
+        if (this->is_sent_twice()) {
             this->pending[peer.descriptor()] = answer;
         }
         return peer.write(answer);
@@ -114,11 +118,10 @@
 private:
     result_table& results;
     recorder& record;
-    bool is_spoiled;
+    std::function<bool()> is_sent_twice;
     std::mutex mutex;
     std::mutex work;
     std::map<int, std::string> pending;
-    long answers = 0;
 };
 
 auto split_handles(const std::string& text) -> std::vector<std::string>
@@ -223,6 +226,8 @@
     auto runs = run_log();
     auto results = result_table();
     platform.put("config", "main", make_configuration());
+    auto is_spoiling = std::atomic<bool>(false);
+    auto answers = std::atomic<long>(0);
     auto engines = std::vector<std::unique_ptr<engine>>();
     auto parts = std::vector<std::unique_ptr<stage_part>>();
     for (const auto* zone : {"z-a", "z-b", "z-c"}) {
@@ -234,8 +239,12 @@
             }));
     }
     for (const auto* zone : {"z-a", "z-b", "z-c", "z-a", "z-b"}) {
+        const auto is_faulty = parts.size() < spoiled_engines;
         parts.push_back(std::make_unique<stage_part>(
-            results, record, parts.size() < spoiled_engines));
+            results, record, [is_faulty, &is_spoiling, &answers]() {
+                return is_faulty && is_spoiling &&
+                       ++answers % answers_per_extra == 0;
+            }));
         auto* part = parts.back().get();
         const auto index = engines.size();
         engines.push_back(std::make_unique<engine>(
@@ -271,7 +280,12 @@
             }
         });
     }
-    sleep_ms(run_ms);
+    for (auto round = 0; round < spoil_count; ++round) {
+        is_spoiling = has_trouble();
+        sleep_ms(spoil_ms);
+        is_spoiling = false;
+        sleep_ms(spoil_ms);
+    }
     is_over = true;
     for (auto& caller : callers) {
         caller.join();
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -964,7 +964,7 @@
         }
     }
 
-    /// \return Resident memory in megabytes.
+    /// \return Resident memory in units of 1,048,576 bytes.
     [[nodiscard]] auto resident_mb() const -> long
     {
         auto file =
@@ -972,7 +972,7 @@
         auto size = 0L;
         auto pages = 0L;
         file >> size >> pages;
-        return pages * sysconf(_SC_PAGESIZE) / 1000000;
+        return pages * sysconf(_SC_PAGESIZE) / 1048576;
     }
 
     [[nodiscard]] auto is_ready() const -> bool
--- a/review/standin/two_owners.cpp
+++ b/review/standin/two_owners.cpp
@@ -28,28 +28,43 @@
     return answer ? answer->body : "none";
 }
 
-/// \return The largest number of requests in one second at the cold engine.
+/// \return The largest number of requests that were sent by callers and arrived
+///         at the cold engine inside one second.
 auto load_cold_engine(const std::vector<std::unique_ptr<node>>& nodes,
                       engine& target, const std::string& service, run_log& runs,
                       recorder& record) -> int
 {
     auto is_over = std::atomic<bool>(false);
+    auto mutex = std::mutex();
+    auto sent_at = std::map<std::string, long>();
     auto callers = std::vector<std::thread>();
-    constexpr auto caller_count = 60;
-    for (auto caller = 0; caller < caller_count; ++caller) {
+    // Half of the callers use the node that was restarted: 23 requests a second
+    // come there, and 23 to the others together.
+    constexpr auto caller_count = 46;
+    constexpr auto interval_ms = 2000;
+    for (auto caller = 0; caller < 2 * caller_count; ++caller) {
         callers.emplace_back([&, caller]() {
+            const auto index = caller % 2 == 0
+                                   ? std::size_t(0)
+                                   : std::size_t(1 + caller / 2 % 2);
+            auto next = steady::now() +
+                        milliseconds(interval_ms * caller / (2 * caller_count));
             while (!is_over) {
+                std::this_thread::sleep_until(next);
+                next += milliseconds(interval_ms);
                 const auto got =
-                    ask(*nodes[std::size_t(caller) % nodes.size()], "POST",
-                        "/" + service + "/1", 4000, "", "an order");
+                    ask(*nodes[index], "POST", "/" + service + "/1", 4000, "",
+                        "an order");
                 record.write("request " + got.request + " sent at " +
                              std::to_string(got.sent_ms) + " status " +
                              std::to_string(got.status));
-                sleep_ms(200);
+                const auto lock = std::lock_guard(mutex);
+                sent_at[got.request] = got.sent_ms;
             }
         });
     }
-    sleep_ms(1000);
+    constexpr auto warm_ms = 2500;
+    sleep_ms(warm_ms);
     target.become_cold(cold_ms);
     const auto cold_at = now_ms();
     sleep_ms(cold_ms);
@@ -57,27 +72,27 @@
     for (auto& caller : callers) {
         caller.join();
     }
-    auto arrivals = std::vector<long>();
+    auto arrivals = std::vector<std::pair<long, long>>();
     for (const auto& item : runs.all()) {
         if (item.engine == target.id &&
             item.arrived_ms >= cold_at + notice_ms &&
             item.arrived_ms < cold_at + cold_ms) {
-            arrivals.push_back(item.arrived_ms);
+            arrivals.emplace_back(sent_at[item.request], item.arrived_ms);
             record.write("cold engine " + item.engine + " ran " + item.request +
                          " at " + std::to_string(item.arrived_ms));
         }
     }
-    std::sort(arrivals.begin(), arrivals.end());
-    auto most = 0;
-    auto first = std::size_t(0);
+    auto most = 0L;
     constexpr auto second_ms = 1000;
-    for (auto last = std::size_t(0); last < arrivals.size(); ++last) {
-        while (arrivals[last] - arrivals[first] >= second_ms) {
-            ++first;
-        }
-        most = std::max(most, int(last - first + 1));
+    for (const auto& [from, ignored] : arrivals) {
+        most = std::max(
+            most, long(std::count_if(arrivals.begin(), arrivals.end(),
+                                     [start = from](const auto& item) {
+                                         return item.first >= start &&
+                                                item.second < start + second_ms;
+                                     })));
     }
-    return most;
+    return int(most);
 }
 
 [[noreturn]] auto play(const std::string& record_path) -> void
