Limit chunk headers and trailer fields

Cause: Beast takes no byte of a chunk header or of trailer fields before their end and has no limit for them; parse_some() kept all of them. Requests have the same parser, so a caller could do the same at every address.

Change: what the parser leaves in the buffer is one incomplete element and may have as many bytes as a header. More is header_too_large. All connections share parse_some().

--- a/src/libs/http1/parser.cpp
+++ b/src/libs/http1/parser.cpp
@@ -19,6 +19,7 @@
 
 /// Responses of upstreams may have any length because they are streamed.
 constexpr auto unlimited_body = std::uint64_t(1) << 50U;
+constexpr auto max_response_header_bytes = std::uint32_t(8192);
 
 constexpr auto error_table = std::array{
     core::error_entry{int(http1_errc::malformed_message), "malformed_message",
@@ -108,9 +109,13 @@
     {}
 };
 
-/// Parses as much of \a buffer as possible and removes the parsed bytes.
+/// Parses as much of \a buffer as possible and removes the parsed bytes. Beast
+/// limits only the header itself: it leaves a chunk header and the trailer
+/// fields in the buffer until they are complete.
+/// \param largest_incomplete Bytes of an incomplete element that may remain.
 template <typename Parser>
-auto parse_some(Parser& parser, std::string& buffer) -> std::error_code
+auto parse_some(Parser& parser, std::string& buffer,
+                std::size_t largest_incomplete) -> std::error_code
 {
     while (!buffer.empty() && !parser.is_done()) {
         auto error = beast_error();
@@ -118,7 +123,9 @@
             boost::asio::const_buffer(buffer.data(), buffer.size()), error);
         buffer.erase(0, used);
         if (error == beast_http::error::need_more) {
-            return {};
+            return buffer.size() > largest_incomplete
+                       ? make_error_code(http1_errc::header_too_large)
+                       : std::error_code();
         }
         if (error) {
             return to_http1_error(error);
@@ -207,7 +214,8 @@
     if (!current.parser) {
         current.begin();
     }
-    error = parse_some(*current.parser, current.buffer);
+    error = parse_some(*current.parser, current.buffer,
+                       current.limits.header_bytes);
     if (!error && current.has_head &&
         !has_unambiguous_framing(current.parser->headers)) {
         error = http1_errc::malformed_message;
@@ -252,6 +260,7 @@
     {
         this->parser = std::make_unique<hooked_parser<false>>();
         this->parser->eager(true);
+        this->parser->header_limit(max_response_header_bytes);
         this->parser->body_limit(unlimited_body);
         this->parser->skip(this->has_no_body);
         this->parser->on_head = [this]() {
@@ -285,12 +294,14 @@
 {
     auto& current = *this->data;
     current.buffer += bytes;
-    if (const auto error = parse_some(*current.parser, current.buffer)) {
+    if (const auto error = parse_some(*current.parser, current.buffer,
+                                      max_response_header_bytes)) {
         return error;
     }
     while (current.parser->is_done() && current.parser->status < 200) {
         current.begin();
-        if (const auto error = parse_some(*current.parser, current.buffer)) {
+        if (const auto error = parse_some(*current.parser, current.buffer,
+                                          max_response_header_bytes)) {
             return error;
         }
     }
--- a/tests/unit/http1/parser_test.cpp
+++ b/tests/unit/http1/parser_test.cpp
@@ -4,6 +4,9 @@
 
 #include <rapidcheck/gtest.h>
 
+#include <array>
+#include <functional>
+
 namespace almondtiller::http1 {
 namespace {
 
@@ -40,6 +43,25 @@
     std::string_view("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                      "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
 
+/// The begin of a chunk header, and of the trailer fields.
+constexpr auto endless_starts =
+    std::array{std::string_view("5;"), std::string_view("0\r\nField: ")};
+
+/// \return The number of bytes, in steps of 256, after which \a feed reports a
+///         header that is too large; 0 if it accepts 64 KB.
+auto bytes_until_too_large(
+    const std::function<std::error_code(std::string_view)>& feed) -> std::size_t
+{
+    constexpr auto most = std::size_t(65536);
+    const auto part = std::string(256, 'a');
+    for (auto size = part.size(); size <= most; size += part.size()) {
+        if (feed(part) == http1_errc::header_too_large) {
+            return size;
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 TEST(request_parser, reads_requests_one_after_another)
@@ -90,6 +112,26 @@
     EXPECT_EQ(error, http1_errc::body_too_large);
 }
 
+// A caller that sends a chunk header or trailer fields without end must not
+// fill the memory of the node.
+TEST(request_parser, bounds_chunk_headers_and_trailers)
+{
+    for (const auto& start : endless_starts) {
+        auto parser = request_parser();
+        parser.set_limits({1024, 4096});
+        parser.feed("POST / HTTP/1.1\r\nHost: a\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n" +
+                    std::string(start));
+        const auto feed = [&parser](std::string_view bytes) {
+            auto error = std::error_code();
+            parser.feed(bytes);
+            parser.next(error);
+            return error;
+        };
+        EXPECT_EQ(bytes_until_too_large(feed), 1024) << start;
+    }
+}
+
 RC_GTEST_PROP(request_parser, reads_the_same_in_any_pieces,
               (std::vector<std::uint8_t> sizes))
 {
@@ -134,6 +176,24 @@
     EXPECT_EQ(answer.body, "hello world");
 }
 
+// A faulty upstream that sends a chunk header or trailer fields without end
+// must not fill the memory of the node.
+TEST(response_parser, bounds_chunk_headers_and_trailers)
+{
+    for (const auto& start : endless_starts) {
+        auto answer = read_answer();
+        const auto parser = make_parser(answer);
+        ASSERT_FALSE(
+            parser->feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                         "\r\n" +
+                         std::string(start)));
+        const auto feed = [&parser](std::string_view bytes) {
+            return parser->feed(bytes);
+        };
+        EXPECT_EQ(bytes_until_too_large(feed), 8192) << start;
+    }
+}
+
 TEST(response_parser, reports_bytes_after_the_response)
 {
     auto answer = read_answer();
