Keep a node registered, and write its entry under a condition

Cause: the removal of a stopping node named no revision, so that the store, which may execute an unanswered call seconds later, removed the entry of the next process. A node registered once and did not compare the list of nodes with its own entry afterwards, and it always counted itself as a candidate for ownership.

Change: node_registration names in each write the revision that it replaces or removes, compares its entry with each list and change of nodes, and writes it again if another write has removed or replaced it (registration_lost). A node that is not registered owns nothing while it knows others.

--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -196,7 +196,13 @@
 auto node::state::update_candidates() -> void
 {
     auto live = std::vector<owner_candidate>();
-    this->visit_ready_nodes([&live](const ready_node& node) {
+    this->visit_ready_nodes([this, &live](const ready_node& node) {
+        // The other nodes do not count this one while they do not know it. It
+        // would be a second owner.
+        if (node.node == this->settings.node &&
+            !this->follower.is_registered()) {
+            return;
+        }
         live.push_back({node.node, node.zone, node.capacity});
     });
     const auto owners = choose_owners(live);
--- a/src/services/gateway/node_leave.cpp
+++ b/src/services/gateway/node_leave.cpp
@@ -28,7 +28,7 @@
     this->log.write(severity::notice, "leaving", {});
     this->update_ready();
     this->mesh.leave();
-    this->follower.withdraw(this->settings.node);
+    this->follower.withdraw();
     this->leave_timer.start(leave_check_interval);
 }
 
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -13,7 +13,8 @@
                                const core::endpoint& address,
                                dispatch::serving_state& state, peer_mesh& peers,
                                event_log& logger,
-                               std::function<void()> on_changed)
+                               std::function<void()> on_changed,
+                               std::function<void()> on_registration)
     : event_loop(loop),
       pool(calls),
       store(address),
@@ -21,7 +22,9 @@
       mesh(peers),
       log(logger),
       notify_changed(std::move(on_changed)),
-      announce_timer(loop, [this]() { this->put_entry(false); }),
+      notify_registered(std::move(on_registration)),
+      registration(loop, calls, address, logger,
+                   [this]() { this->notify_registered(); }),
       expiry_timer(loop, [this]() {
           this->update_following();
           if (this->serving_state.expire(this->event_loop.now())) {
@@ -106,6 +109,7 @@
 auto store_follower::start(const adapter::node_entry& entry) -> void
 {
     this->own_entry = entry;
+    this->registration.set_entry(entry);
     for (auto& mirror : this->mirrors) {
         mirror->start();
     }
@@ -329,6 +333,23 @@
         }
     }
     this->mesh.set_members(members);
+    const auto& mirror = this->mirror(adapter::object_kind::nodes);
+    this->registration.on_entries(mirror.objects(), mirror.revision());
+}
+
+auto store_follower::announce() -> void
+{
+    this->registration.announce();
+}
+
+auto store_follower::withdraw() -> void
+{
+    this->registration.withdraw();
+}
+
+auto store_follower::is_registered() const -> bool
+{
+    return this->registration.is_registered();
 }
 
 } // namespace almondtiller::gateway
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -3,6 +3,7 @@
 #include "dispatch/serving_state.h"
 #include "services/gateway/fetch_throttle.h"
 #include "services/gateway/node_metrics.h"
+#include "services/gateway/node_registration.h"
 #include "services/gateway/peer_mesh.h"
 #include "services/gateway/peer_messages.h"
 #include "services/gateway/store_mirror.h"
@@ -20,10 +21,12 @@
 {
 public:
     /// \param on_changed Called when the serving state has changed.
+    /// \param on_registration Called when is_registered() has changed.
     store_follower(event::loop& event_loop, http1::client_pool& calls,
                    const core::endpoint& store,
                    dispatch::serving_state& serving_state, peer_mesh& mesh,
-                   event_log& log, std::function<void()> on_changed);
+                   event_log& log, std::function<void()> on_changed,
+                   std::function<void()> on_registration);
 
     /// Starts to read the store.
     /// \param entry The entry under which announce() registers this node.
@@ -61,7 +64,10 @@
     /// Registers this node in the store and retries until that succeeds.
     auto announce() -> void;
     /// Removes this node's registration from the store; not retried.
-    auto withdraw(const core::node_id& node) -> void;
+    auto withdraw() -> void;
+    /// \return Whether the store holds the registration, so that the other
+    ///         nodes know this one.
+    [[nodiscard]] auto is_registered() const -> bool;
 
 private:
     static constexpr auto kind_count = std::size_t(4);
@@ -86,7 +92,6 @@
     auto on_nodes() -> void;
     auto fetch_from(const core::node_id& peer, std::size_t kind,
                     std::int64_t since) -> void;
-    auto put_entry(bool exists) -> void;
     auto update_following() -> void;
     /// \return How long to wait for the change from the store or other peers
     ///         before it is fetched from \a peer.
@@ -108,6 +113,7 @@
     peer_mesh& mesh;
     event_log& log;
     std::function<void()> notify_changed;
+    std::function<void()> notify_registered;
     std::array<std::unique_ptr<store_mirror>, kind_count> mirrors;
     std::array<fetch_throttle, kind_count> throttles;
     fetch_throttle configuration_throttle;
@@ -122,8 +128,7 @@
     adapter::node_entry own_entry;
     std::uint64_t watch_count = 0;
     std::vector<core::node_id> watchers;
-    bool is_withdrawn = false;
-    event::timer announce_timer;
+    node_registration registration;
     event::timer expiry_timer;
 };
 
--- a/src/services/gateway/store_snapshots.cpp
+++ b/src/services/gateway/store_snapshots.cpp
@@ -1,6 +1,5 @@
 #include "services/gateway/store_follower.h"
 
-#include "platform/adapter_errc.h"
 #include "services/gateway/follower_limits.h"
 #include "services/gateway/snapshot_codec.h"
 
@@ -10,19 +9,6 @@
 
 namespace almondtiller::gateway {
 
-namespace {
-
-/// Bounds a registration, because the store may not answer at all and a node
-/// that is not registered gets no callers.
-auto registration_options() -> http1::call_options
-{
-    auto options = http1::call_options();
-    options.longest = announce_timeout;
-    return options;
-}
-
-} // namespace
-
 auto store_follower::encode_since(std::size_t kind, std::int64_t since) const
     -> std::string
 {
@@ -181,56 +167,4 @@
     }
 }
 
-auto store_follower::announce() -> void
-{
-    this->put_entry(false);
-}
-
-auto store_follower::put_entry(bool exists) -> void
-{
-    if (this->is_withdrawn) {
-        return;
-    }
-    const auto name = this->own_entry.node.str();
-    const auto body = adapter::encode_node(this->own_entry);
-    const auto kind = adapter::object_kind::nodes;
-    auto status = std::make_shared<int>(0);
-    auto hooks = http1::pool_hooks();
-    hooks.on_head = [status](const http1::response_head& head) {
-        *status = head.status;
-    };
-    hooks.on_done = [this, status](std::error_code error, bool) {
-        const auto failure = error ? error : adapter::store_error(*status);
-        if (failure == adapter::adapter_errc::conflict) {
-            this->put_entry(true);
-        } else if (failure) {
-            this->log.write(severity::notice, "announce_failed",
-                            {{"error", failure.message()}});
-            this->announce_timer.start(announce_retry_delay);
-        }
-    };
-    this->pool.call({"store", this->store},
-                    exists
-                        ? adapter::encode_replace(this->store, kind, name, body)
-                        : adapter::encode_create(this->store, kind, name, body),
-                    registration_options(), std::move(hooks));
-}
-
-auto store_follower::withdraw(const core::node_id& node) -> void
-{
-    this->is_withdrawn = true;
-    this->announce_timer.stop();
-    auto hooks = http1::pool_hooks();
-    hooks.on_done = [this](std::error_code error, bool) {
-        if (error) {
-            this->log.write(severity::notice, "withdraw_failed",
-                            {{"error", error.message()}});
-        }
-    };
-    this->pool.call({"store", this->store},
-                    adapter::encode_remove(
-                        this->store, adapter::object_kind::nodes, node.str()),
-                    registration_options(), std::move(hooks));
-}
-
 } // namespace almondtiller::gateway
--- a/tests/fakes/gateway_world/fake_store.cpp
+++ b/tests/fakes/gateway_world/fake_store.cpp
@@ -9,6 +9,10 @@
 
 constexpr auto prefix = std::string_view("/almondtiller/objects/");
 constexpr auto page_size = std::size_t(3);
+constexpr auto ok = 200;
+constexpr auto created = 201;
+constexpr auto not_found = 404;
+constexpr auto conflict = 409;
 
 auto query_value(const std::string& query, const std::string& key)
     -> std::string
@@ -77,6 +81,23 @@
     return found != this->objects.end() && found->second.contains(name);
 }
 
+auto fake_store::spec(const std::string& kind, const std::string& name) const
+    -> json
+{
+    return this->has(kind, name) ? this->objects.at(kind).at(name).at("spec")
+                                 : json();
+}
+
+auto fake_store::set_removal_delay(core::milliseconds time) -> void
+{
+    this->removal_delay = time;
+}
+
+auto fake_store::late_removals() const -> int
+{
+    return this->late_removal_count;
+}
+
 auto fake_store::set_mode(store_mode wanted) -> void
 {
     this->mode = wanted;
@@ -157,6 +178,8 @@
         this->timers.back()->start(this->delay);
     } else if (request.method == "GET") {
         this->on_read(kind, query, std::move(exchange));
+    } else if (request.method == "DELETE") {
+        this->on_removal(kind, name, query_value(query, "revision"), exchange);
     } else {
         this->on_write(request, kind, name, exchange);
     }
@@ -247,6 +270,43 @@
     }
 }
 
+auto fake_store::on_removal(const std::string& kind, const std::string& name,
+                            const std::string& condition,
+                            const std::shared_ptr<http1::exchange>& exchange)
+    -> void
+{
+    const auto execute = [this, kind, name, condition]() {
+        if (!this->has(kind, name)) {
+            return not_found;
+        }
+        if (!this->holds(kind, name, "0" + condition)) {
+            return conflict;
+        }
+        this->remove(kind, name);
+        return ok;
+    };
+    if (this->removal_delay.count() > 0) {
+        this->ignored.push_back(exchange);
+        this->timers.push_back(
+            std::make_unique<event::timer>(this->event_loop, [this, execute]() {
+                execute();
+                ++this->late_removal_count;
+            }));
+        this->timers.back()->start(this->removal_delay);
+        return;
+    }
+    this->answer_write(exchange, execute(), json::object());
+}
+
+auto fake_store::holds(const std::string& kind, const std::string& name,
+                       const std::string& condition) const -> bool
+{
+    const auto wanted = std::stoll(condition);
+    return wanted == 0 ||
+           this->objects.at(kind).at(name).at("metadata").at("revision") ==
+               wanted;
+}
+
 auto fake_store::on_write(const http1::request_message& request,
                           const std::string& kind, std::string name,
                           const std::shared_ptr<http1::exchange>& exchange)
@@ -256,25 +316,34 @@
         this->ignored.push_back(exchange);
         return;
     }
-    auto status = 200;
-    if (request.method == "DELETE") {
-        status = this->has(kind, name) ? 200 : 404;
-        this->remove(kind, name);
-    } else {
-        const auto body = json::parse(request.body);
-        if (request.method == "POST") {
-            name = body["metadata"]["name"].get<std::string>();
-            status = this->has(kind, name) ? 409 : 201;
-        }
-        if (status != 409) {
-            this->put(kind, name, body["spec"]);
-        }
+    const auto body = json::parse(request.body);
+    const auto& metadata = body["metadata"];
+    auto status = ok;
+    if (request.method == "POST") {
+        name = metadata["name"].get<std::string>();
+        status = this->has(kind, name) ? conflict : created;
+    } else if (!this->has(kind, name)) {
+        status = not_found;
+    } else if (!this->holds(kind, name,
+                            std::to_string(metadata.value("revision", 0)))) {
+        status = conflict;
+    }
+    if (status == ok || status == created) {
+        this->put(kind, name, body["spec"]);
     }
+    this->answer_write(exchange, status,
+                       status == not_found ? json::object()
+                                           : this->objects[kind][name]);
+}
+
+auto fake_store::answer_write(const std::shared_ptr<http1::exchange>& exchange,
+                              int status, const json& body) -> void
+{
     if (this->mode == store_mode::drops_write_answers) {
         this->ignored.push_back(exchange);
         return;
     }
-    this->answer(exchange, status, json::object());
+    this->answer(exchange, status, body);
 }
 
 } // namespace almondtiller::gateway_world
--- a/tests/fakes/gateway_world/fake_store.h
+++ b/tests/fakes/gateway_world/fake_store.h
@@ -43,8 +43,18 @@
     [[nodiscard]] auto has(const std::string& kind,
                            const std::string& name) const -> bool;
 
+    /// \return The object's content; null if there is none.
+    [[nodiscard]] auto spec(const std::string& kind,
+                            const std::string& name) const -> json;
+
     auto set_mode(store_mode mode) -> void;
 
+    /// Executes the removals of callers after a time, under their condition at
+    /// that time, and does not answer them.
+    auto set_removal_delay(core::milliseconds delay) -> void;
+    /// \return The number of removals that were executed late.
+    [[nodiscard]] auto late_removals() const -> int;
+
     /// Delays the answers to reads of one kind.
     auto set_delay(std::string kind, core::milliseconds delay) -> void;
 
@@ -85,9 +95,17 @@
                     std::shared_ptr<http1::exchange> exchange) -> void;
     auto on_read(const std::string& kind, const std::string& query,
                  std::shared_ptr<http1::exchange> exchange) -> void;
+    auto on_removal(const std::string& kind, const std::string& name,
+                    const std::string& condition,
+                    const std::shared_ptr<http1::exchange>& exchange) -> void;
+    /// \param condition A revision, "0" if there is no condition.
+    [[nodiscard]] auto holds(const std::string& kind, const std::string& name,
+                             const std::string& condition) const -> bool;
     auto on_write(const http1::request_message& request,
                   const std::string& kind, std::string name,
                   const std::shared_ptr<http1::exchange>& exchange) -> void;
+    auto answer_write(const std::shared_ptr<http1::exchange>& exchange,
+                      int status, const json& body) -> void;
     auto changes_since(const std::string& kind, std::int64_t revision) const
         -> json;
     auto answer_watches() -> void;
@@ -111,6 +129,8 @@
     std::uint64_t call_count = 0;
     std::string delayed_kind;
     core::milliseconds delay{0};
+    core::milliseconds removal_delay{0};
+    int late_removal_count = 0;
     std::vector<std::unique_ptr<event::timer>> timers;
     /// Last member, so that it is destroyed first: its requests use the others.
     http_server server;
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -20,6 +20,7 @@
 
 constexpr auto quarantined_metric =
     "almondtiller_gateway_quarantined_prompt_parts";
+constexpr auto node_kind = "almondtiller-nodes";
 
 /// Several nodes in one process, on the world's event loop.
 class whole_path_test : public testing::Test
@@ -43,11 +44,7 @@
             this->wait_ready(*running);
         }
         // Nodes register and discover each other once they are ready.
-        const auto links = this->nodes.size() * (this->nodes.size() - 1);
-        EXPECT_TRUE(this->world.run_until([this, links]() {
-            return this->metric("almondtiller_gateway_peers_alive") ==
-                   double(links);
-        }));
+        EXPECT_TRUE(this->wait_for_peers());
     }
     ~whole_path_test() override
     {
@@ -58,10 +55,17 @@
     auto add_node(const std::string& zone) -> running_node&
     {
         auto made = std::make_unique<running_node>();
-        auto& running = *made;
-        running.settings = gateway_world::make_settings(
+        made->settings = gateway_world::make_settings(
             "n" + std::to_string(this->nodes.size()), zone,
             this->world.store.address());
+        this->nodes.push_back(std::move(made));
+        this->start_node(*this->nodes.back());
+        return *this->nodes.back();
+    }
+
+    /// Starts the process of a node.
+    auto start_node(running_node& running) -> void
+    {
         running.log = std::make_unique<event_log>(this->world.loop,
                                                   this->world.clock, this->sink,
                                                   running.settings.node.str());
@@ -71,8 +75,37 @@
             [&running]() { running.has_stopped = true; });
         const auto error = running.process->start();
         EXPECT_FALSE(error) << error.message();
-        this->nodes.push_back(std::move(made));
-        return running;
+    }
+
+    /// Stops a node and starts it again with the same name and addresses.
+    auto restart_node(running_node& running) -> void
+    {
+        running.process->leave();
+        EXPECT_TRUE(this->world.run_until(
+            [&running]() { return running.has_stopped; }));
+        running.process.reset();
+        running.has_stopped = false;
+        this->start_node(running);
+        this->wait_ready(running);
+    }
+
+    /// Waits until each node sees all others as alive.
+    auto wait_for_peers() -> bool
+    {
+        const auto links = this->nodes.size() * (this->nodes.size() - 1);
+        return this->world.run_until([this, links]() {
+            return this->metric("almondtiller_gateway_peers_alive") ==
+                   double(links);
+        });
+    }
+
+    /// \return The incarnation under which a node is registered in the store;
+    ///         empty if it is not registered.
+    auto registered_incarnation(const std::string& node) -> std::string
+    {
+        const auto entry = this->world.store.spec(node_kind, node);
+        return entry.is_null() ? std::string()
+                               : entry.at("incarnation").get<std::string>();
     }
 
     /// \return The HTTP status of a node's readiness check; 0 without an
@@ -1142,6 +1175,49 @@
     })) << "the other nodes see the fourth as alive";
 }
 
+// Guards against a node that the others no longer know, while it counts itself
+// as the owner of services: a removal that another process sent is executed
+// after the node has registered.
+TEST_F(whole_path_test, a_node_whose_entry_is_removed_registers_again)
+{
+    const auto incarnation = this->registered_incarnation("n0");
+    this->world.store.remove(node_kind, "n0");
+    EXPECT_TRUE(this->world.run_until([this, &incarnation]() {
+        return this->registered_incarnation("n0") == incarnation;
+    }));
+    EXPECT_TRUE(this->wait_for_peers());
+}
+
+// The registration of an earlier process of the node is written late.
+TEST_F(whole_path_test, a_node_whose_entry_is_replaced_registers_again)
+{
+    auto entry = this->world.store.spec(node_kind, "n0");
+    const auto incarnation = this->registered_incarnation("n0");
+    entry["incarnation"] = "earlier";
+    this->world.store.put(node_kind, "n0", entry);
+    EXPECT_TRUE(this->world.run_until([this, &incarnation]() {
+        return this->registered_incarnation("n0") == incarnation;
+    }));
+    EXPECT_TRUE(this->wait_for_peers());
+}
+
+// Guards against a stopped node whose removal, executed late, takes away the
+// registration of its successor.
+TEST_F(whole_path_test, a_late_removal_spares_the_next_process)
+{
+    auto& restarted = *this->nodes[0];
+    this->world.store.set_removal_delay(core::milliseconds(6000));
+    this->restart_node(restarted);
+    EXPECT_TRUE(this->wait_for_peers());
+    auto was_registered = true;
+    EXPECT_TRUE(this->world.run_until([this, &was_registered]() {
+        was_registered =
+            was_registered && this->world.store.has(node_kind, "n0");
+        return this->world.store.late_removals() == 1;
+    }));
+    EXPECT_TRUE(was_registered && this->world.store.has(node_kind, "n0"));
+}
+
 /// Tests of the end of answers. The parameter is how it is marked.
 class answer_end_test : public whole_path_test,
                         public testing::WithParamInterface<answer_framing>
