Read a restored store again, and order its revisions by era

Cause: a restored store assigns revision numbers again. store_mirror took the number alone for the age of what it holds: it dropped the lists of the restored store as older and watched from a revision that the store did not have, which answered 410, without a pause. A store that had reached the number again was never read up to it.

Change: serving::store_revision orders by era, then by number. A later era in any answer makes the mirrors of all kinds read their objects again; what other nodes send, registrations and gossip carry the era. A list that is older than what the node has is followed by a pause.

--- a/src/services/gateway/fetch_throttle.cpp
+++ b/src/services/gateway/fetch_throttle.cpp
@@ -6,7 +6,7 @@
 
 namespace almondtiller::gateway {
 
-auto fetch_throttle::should_fetch(std::int64_t own_revision,
+auto fetch_throttle::should_fetch(const serving::store_revision& own_revision,
                                   core::milliseconds initial_delay,
                                   core::time_point now) -> bool
 {
--- a/src/services/gateway/fetch_throttle.h
+++ b/src/services/gateway/fetch_throttle.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "serving/store_revision.h"
 
 #include <cstdint>
 #include <optional>
@@ -14,12 +15,13 @@
 {
 public:
     /// Called when a peer reports a newer revision or version.
-    /// \param own_revision The revision or version that this node has.
+    /// \param own_revision The revision that this node has, or the version as a
+    ///        number.
     /// \param initial_delay How long to wait for sources that usually deliver
     ///        the change sooner, such as the node's own watch.
     /// \return Whether to fetch from that peer now; if so, the call counts as
     ///         sent.
-    auto should_fetch(std::int64_t own_revision,
+    auto should_fetch(const serving::store_revision& own_revision,
                       core::milliseconds initial_delay, core::time_point now)
         -> bool;
 
@@ -28,7 +30,7 @@
 
 private:
     /// This node's revision or version when a peer first reported a newer one.
-    std::optional<std::int64_t> stale_revision;
+    std::optional<serving::store_revision> stale_revision;
     core::time_point behind_since;
     core::time_point last_fetch;
     bool has_open_call = false;
--- a/src/services/gateway/follower_limits.h
+++ b/src/services/gateway/follower_limits.h
@@ -25,10 +25,9 @@
 /// all objects.
 inline constexpr auto changes_mark = 'c';
 inline constexpr auto page_mark = 'p';
-/// First byte of a compressed answer, which is only sent to nodes whose call
-/// contains \a accepts_compressed.
+/// First byte of a compressed answer, which is only sent to nodes that accept
+/// it.
 inline constexpr auto compressed_mark = 'z';
-inline constexpr auto accepts_compressed = " z";
 /// Answers of fewer bytes are sent uncompressed.
 inline constexpr auto min_compressed_size = std::size_t(1024);
 /// Encoded answers of one kind and revision that are cached for further peers.
--- a/src/services/gateway/node_metrics.cpp
+++ b/src/services/gateway/node_metrics.cpp
@@ -134,7 +134,7 @@
         registry.gauge_for(store_connected_info, labels)
             .set(kind.is_connected ? 1 : 0);
         registry.gauge_for(store_revision_info, labels)
-            .set(double(kind.revision));
+            .set(double(kind.revision.number));
         raise_to(registry.counter_for(store_calls_info, labels), kind.calls);
     }
 }
--- a/src/services/gateway/node_metrics.h
+++ b/src/services/gateway/node_metrics.h
@@ -3,6 +3,7 @@
 #include "core/metrics.h"
 #include "dispatch/serving_state.h"
 #include "services/gateway/event_log.h"
+#include "serving/store_revision.h"
 
 #include <string>
 #include <string_view>
@@ -27,7 +28,7 @@
 struct store_view
 {
     std::string_view kind;
-    std::int64_t revision = 0;
+    serving::store_revision revision;
     bool is_connected = false;
     std::uint64_t calls = 0;
 
--- a/src/services/gateway/node_registration.cpp
+++ b/src/services/gateway/node_registration.cpp
@@ -12,6 +12,11 @@
 
 constexpr auto kind = adapter::object_kind::nodes;
 
+auto has_entry(const serving::store_revision& revision) -> bool
+{
+    return revision != serving::store_revision();
+}
+
 /// Bounds a registration, because the store may not answer at all and a node
 /// that is not registered gets no callers.
 auto registration_options() -> http1::call_options
@@ -56,21 +61,24 @@
     const auto name = this->entry.node.str();
     const auto content = adapter::encode_node(this->entry);
     auto status = std::make_shared<int>(0);
+    auto era = std::make_shared<std::int64_t>(0);
     auto body = std::make_shared<std::string>();
     auto hooks = http1::pool_hooks();
-    hooks.on_head = [status](const http1::response_head& head) {
+    hooks.on_head = [status, era](const http1::response_head& head) {
         *status = head.status;
+        *era = adapter::store_era(head.headers);
     };
     hooks.on_body = [body](std::string_view bytes) {
         *body += bytes;
     };
-    hooks.on_done = [this, status, body](std::error_code error, bool) {
+    hooks.on_done = [this, status, era, body](std::error_code error, bool) {
         this->is_writing = false;
-        this->on_written(error ? error : adapter::store_error(*status), *body);
+        this->on_written(error ? error : adapter::store_error(*status), *body,
+                         *era);
     };
     this->pool.call(
         {"store", this->store},
-        this->replaced_revision == 0
+        !has_entry(this->replaced_revision)
             ? adapter::encode_create(this->store, kind, name, content)
             : adapter::encode_replace(this->store, kind, name, content,
                                       this->replaced_revision),
@@ -78,20 +86,22 @@
 }
 
 auto node_registration::on_written(std::error_code error,
-                                   const std::string& body) -> void
+                                   const std::string& body, std::int64_t era)
+    -> void
 {
     using adapter::adapter_errc;
+    const auto written = adapter::decode_object(body, era);
     if (!error) {
-        if (const auto written = adapter::decode_object(body)) {
+        if (written) {
             this->had_conflict = false;
             this->set_own_revision(written.value().revision);
         } else {
             this->retry_later(written.error().message());
         }
     } else if (error == adapter_errc::conflict) {
-        this->on_conflict(body);
+        this->on_conflict(written);
     } else if (error == adapter_errc::not_found) {
-        this->write_over(0);
+        this->write_over({});
     } else {
         this->retry_later(error.message());
     }
@@ -100,9 +110,9 @@
     }
 }
 
-auto node_registration::on_conflict(const std::string& body) -> void
+auto node_registration::on_conflict(
+    const core::result<adapter::stored_object>& present) -> void
 {
-    const auto present = adapter::decode_object(body);
     if (!present) {
         this->retry_later(present.error().message());
         return;
@@ -116,7 +126,8 @@
     this->write_over(present.value().revision);
 }
 
-auto node_registration::write_over(std::int64_t revision) -> void
+auto node_registration::write_over(const serving::store_revision& revision)
+    -> void
 {
     this->replaced_revision = revision;
     if (std::exchange(this->had_conflict, true)) {
@@ -128,7 +139,7 @@
 
 auto node_registration::on_entries(
     const std::map<std::string, adapter::stored_object>& entries,
-    std::int64_t revision) -> void
+    const serving::store_revision& revision) -> void
 {
     const auto found = entries.find(this->entry.node.str());
     if (!this->is_announced || this->is_withdrawn) {
@@ -140,17 +151,19 @@
         return;
     }
     // Entries that were read before the last write do not show it.
-    if (this->own_revision == 0 || revision < this->own_revision) {
+    if (!this->is_registered() || revision < this->own_revision) {
         return;
     }
-    this->replaced_revision =
-        found == entries.end() ? 0 : found->second.revision;
+    this->replaced_revision = found == entries.end() ? serving::store_revision()
+                                                     : found->second.revision;
     this->log.write(
         severity::notice, "registration_lost",
-        {{"by", this->replaced_revision == 0 ? "removal" : "replacement"},
-         {"revision", std::to_string(revision)},
-         {"own_revision", std::to_string(this->own_revision)}});
-    this->set_own_revision(0);
+        {{"by", has_entry(this->replaced_revision) ? "replacement" : "removal"},
+         {"era", std::to_string(revision.era)},
+         {"revision", std::to_string(revision.number)},
+         {"own_era", std::to_string(this->own_revision.era)},
+         {"own_revision", std::to_string(this->own_revision.number)}});
+    this->set_own_revision({});
     this->write();
 }
 
@@ -165,7 +178,7 @@
 
 auto node_registration::remove() -> void
 {
-    if (this->own_revision == 0) {
+    if (!this->is_registered()) {
         return;
     }
     auto hooks = http1::pool_hooks();
@@ -190,7 +203,8 @@
     }
 }
 
-auto node_registration::set_own_revision(std::int64_t revision) -> void
+auto node_registration::set_own_revision(
+    const serving::store_revision& revision) -> void
 {
     const auto was_registered = this->is_registered();
     this->own_revision = revision;
@@ -201,7 +215,7 @@
 
 auto node_registration::is_registered() const -> bool
 {
-    return this->own_revision != 0;
+    return has_entry(this->own_revision);
 }
 
 auto node_registration::is_own(const adapter::stored_object& object) const
--- a/src/services/gateway/node_registration.h
+++ b/src/services/gateway/node_registration.h
@@ -36,7 +36,7 @@
     /// complete.
     auto
     on_entries(const std::map<std::string, adapter::stored_object>& entries,
-               std::int64_t revision) -> void;
+               const serving::store_revision& revision) -> void;
 
     /// Removes the entry, unless another process has replaced it; not retried.
     auto withdraw() -> void;
@@ -45,14 +45,17 @@
 
 private:
     auto write() -> void;
-    auto on_written(std::error_code error, const std::string& body) -> void;
-    auto on_conflict(const std::string& body) -> void;
+    /// \param era The era that the answer states.
+    auto on_written(std::error_code error, const std::string& body,
+                    std::int64_t era) -> void;
+    auto on_conflict(const core::result<adapter::stored_object>& present)
+        -> void;
     /// Writes again, at once or, after several conflicts, after a delay.
-    /// \param revision The revision that is replaced; 0 if there is none.
-    auto write_over(std::int64_t revision) -> void;
+    /// \param revision The revision that is replaced; {} if there is none.
+    auto write_over(const serving::store_revision& revision) -> void;
     auto remove() -> void;
     auto retry_later(const std::string& reason) -> void;
-    auto set_own_revision(std::int64_t revision) -> void;
+    auto set_own_revision(const serving::store_revision& revision) -> void;
     [[nodiscard]] auto is_own(const adapter::stored_object& object) const
         -> bool;
 
@@ -62,10 +65,11 @@
     std::function<void()> notify_changed;
     event::timer retry_timer;
     adapter::node_entry entry;
-    /// Revision of this process's entry; 0 while there is none.
-    std::int64_t own_revision = 0;
-    /// Revision of the entry that the next write replaces; 0 if it creates one.
-    std::int64_t replaced_revision = 0;
+    /// Revision of this process's entry; {} while there is none.
+    serving::store_revision own_revision;
+    /// Revision of the entry that the next write replaces; {} if it creates
+    /// one.
+    serving::store_revision replaced_revision;
     bool is_announced = false;
     bool is_withdrawn = false;
     bool is_writing = false;
--- a/src/services/gateway/peer_gossip.cpp
+++ b/src/services/gateway/peer_gossip.cpp
@@ -32,12 +32,15 @@
     return options;
 }
 
+constexpr auto era_shift = 40U;
+
 auto to_member(const adapter::node_entry& entry) -> fleet::member
 {
     auto result = fleet::member();
     result.id = entry.node;
-    result.incarnation =
-        std::uint64_t(std::max<std::int64_t>(entry.revision, 0));
+    // A restored store assigns lower revisions to later processes.
+    result.incarnation = (std::uint64_t(entry.revision.era) << era_shift) |
+                         std::uint64_t(entry.revision.number);
     result.zone = entry.zone;
     result.peer_address = core::to_text(entry.peers);
     return result;
--- a/src/services/gateway/peer_messages.cpp
+++ b/src/services/gateway/peer_messages.cpp
@@ -178,11 +178,17 @@
 
 auto encode(const node_status& status) -> std::string
 {
-    return pack(json::array({status.is_ready, core::to_text(status.front),
-                             status.zone.str(), status.revisions,
-                             status.capacity.cores, status.capacity.link_mbps,
-                             status.configuration, status.incarnation,
-                             status.quarantined, status.quarantined_requests}));
+    auto numbers = json::array();
+    auto eras = json::array();
+    for (const auto& revision : status.revisions) {
+        numbers.push_back(revision.number);
+        eras.push_back(revision.era);
+    }
+    return pack(json::array(
+        {status.is_ready, core::to_text(status.front), status.zone.str(),
+         std::move(numbers), status.capacity.cores, status.capacity.link_mbps,
+         status.configuration, status.incarnation, status.quarantined,
+         status.quarantined_requests, std::move(eras)}));
 }
 
 auto decode_status(std::string_view body) -> core::result<node_status>
@@ -192,7 +198,9 @@
         status.is_ready = value.at(0).get<bool>();
         status.front = endpoint_from_json(value.at(1));
         status.zone = core::zone_name(value.at(2).get<std::string>());
-        status.revisions = value.at(3).get<std::vector<std::int64_t>>();
+        for (const auto& number : value.at(3)) {
+            status.revisions.push_back({0, number.get<std::int64_t>()});
+        }
         status.capacity.cores = value.at(4).get<double>();
         status.capacity.link_mbps = value.at(5).get<double>();
         // Earlier versions of the program do not send these fields.
@@ -200,6 +208,14 @@
         constexpr auto incarnation_index = std::size_t(7);
         constexpr auto quarantined_index = std::size_t(8);
         constexpr auto quarantined_requests_index = std::size_t(9);
+        constexpr auto eras_index = std::size_t(10);
+        if (value.size() > eras_index) {
+            const auto& eras = value.at(eras_index);
+            for (auto kind = std::size_t(0); kind < status.revisions.size();
+                 ++kind) {
+                status.revisions[kind].era = eras.at(kind).get<std::int64_t>();
+            }
+        }
         if (value.size() > configuration_index) {
             status.configuration =
                 value.at(configuration_index).get<std::int64_t>();
--- a/src/services/gateway/peer_messages.h
+++ b/src/services/gateway/peer_messages.h
@@ -4,6 +4,7 @@
 #include "dispatch/placement.h"
 #include "dispatch/prompt_quarantine.h"
 #include "dispatch/stage_queue.h"
+#include "serving/store_revision.h"
 
 #include <optional>
 #include <string>
@@ -31,7 +32,7 @@
     node_capacity capacity;
     /// Revision of the store that the node has of each kind of object, indexed
     /// by object_kind.
-    std::vector<std::int64_t> revisions;
+    std::vector<serving::store_revision> revisions;
     /// Version of the configuration in force, 0 before the first.
     std::int64_t configuration = 0;
     /// Distinguishes this status from those that the node sent before a
--- a/src/services/gateway/snapshot_codec.cpp
+++ b/src/services/gateway/snapshot_codec.cpp
@@ -5,12 +5,16 @@
 #include <zlib.h>
 
 #include <array>
+#include <cstdlib>
+#include <limits>
+#include <sstream>
 
 namespace almondtiller::gateway {
 
 namespace {
 
 constexpr auto chunk_size = std::size_t(65536);
+constexpr auto compression_word = std::string_view("z");
 
 /// Releases a zlib stream for decompression on destruction.
 struct inflate_guard
@@ -34,6 +38,38 @@
 
 } // namespace
 
+auto encode_snapshot_request(const snapshot_request& request) -> std::string
+{
+    auto text =
+        std::to_string(request.kind) + " " + std::to_string(request.since);
+    if (request.may_compress) {
+        text += " " + std::string(compression_word);
+    }
+    if (request.era) {
+        text += " " + std::to_string(*request.era);
+    }
+    return text;
+}
+
+auto decode_snapshot_request(const std::string& text) -> snapshot_request
+{
+    auto request = snapshot_request();
+    auto words = std::istringstream(text);
+    if (!(words >> request.kind >> request.since)) {
+        request.kind = std::numeric_limits<std::size_t>::max();
+        return request;
+    }
+    auto word = std::string();
+    while (words >> word) {
+        if (word == compression_word) {
+            request.may_compress = true;
+        } else {
+            request.era = std::strtoll(word.c_str(), nullptr, 10);
+        }
+    }
+    return request;
+}
+
 auto compress(std::string_view text) -> core::result<std::string>
 {
     auto size = compressBound(uLong(text.size()));
--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/adapter_errc.h"
 #include "services/gateway/follower_limits.h"
+#include "services/gateway/snapshot_codec.h"
 
 #include <algorithm>
 #include <set>
@@ -39,6 +40,9 @@
         hooks.watch_wait = [this]() {
             return this->next_watch_wait();
         };
+        hooks.on_restored = [this](std::int64_t era) {
+            this->on_store_restored(era);
+        };
         hooks.on_failed = [this]() {
             this->on_store_failed();
         };
@@ -73,14 +77,7 @@
     this->mesh.handle(snapshot_topic, [this](const core::node_id&,
                                              const std::string& body,
                                              const peer_mesh::reply& answer) {
-        char* rest = nullptr;
-        const auto kind = std::strtoul(body.c_str(), &rest, 10);
-        const auto since = std::strtoll(rest, nullptr, 10);
-        const auto may_compress =
-            body.find(accepts_compressed, std::size_t(rest - body.c_str())) !=
-            std::string::npos;
-        answer(kind < kind_count ? this->answer_since(kind, since, may_compress)
-                                 : std::string());
+        answer(this->answer_request(decode_snapshot_request(body)));
         return std::function<void()>();
     });
 }
@@ -147,6 +144,13 @@
     }
 }
 
+auto store_follower::on_store_restored(std::int64_t era) -> void
+{
+    for (auto& mirror : this->mirrors) {
+        mirror->require_era(era);
+    }
+}
+
 auto store_follower::reappears_until() const -> std::optional<core::time_point>
 {
     const auto outage =
@@ -166,13 +170,14 @@
                : ms_text(this->event_loop.now() - failed);
 }
 
-auto store_follower::revisions() const -> std::vector<std::int64_t>
+auto store_follower::revisions() const -> std::vector<serving::store_revision>
 {
-    auto numbers = std::vector<std::int64_t>();
+    auto revisions = std::vector<serving::store_revision>();
     for (const auto& mirror : this->mirrors) {
-        numbers.push_back(mirror->has_list() ? mirror->revision() : 0);
+        revisions.push_back(mirror->has_list() ? mirror->revision()
+                                               : serving::store_revision());
     }
-    return numbers;
+    return revisions;
 }
 
 auto store_follower::views() const -> std::vector<store_view>
@@ -212,9 +217,10 @@
     }
     auto decoded = adapter::decode_configuration(found->second);
     if (!decoded) {
-        this->log.write(severity::failure, "configuration_unreadable",
-                        {{"error", decoded.error().message()},
-                         {"revision", std::to_string(found->second.revision)}});
+        this->log.write(
+            severity::failure, "configuration_unreadable",
+            {{"error", decoded.error().message()},
+             {"revision", std::to_string(found->second.revision.number)}});
         return;
     }
     const auto version = decoded.value().version;
@@ -223,12 +229,13 @@
     if (this->serving_state.apply(
             std::make_shared<const serving::configuration>(
                 std::move(decoded.value())))) {
-        this->log.write(severity::notice, "configuration_in_force",
-                        {{"version", std::to_string(version)},
-                         {"revision", std::to_string(found->second.revision)},
-                         {"routes", std::to_string(routes)},
-                         {"header_timeout_ms", ms_text(limits.header_timeout)},
-                         {"idle_timeout_ms", ms_text(limits.idle_timeout)}});
+        this->log.write(
+            severity::notice, "configuration_in_force",
+            {{"version", std::to_string(version)},
+             {"revision", std::to_string(found->second.revision.number)},
+             {"routes", std::to_string(routes)},
+             {"header_timeout_ms", ms_text(limits.header_timeout)},
+             {"idle_timeout_ms", ms_text(limits.idle_timeout)}});
         this->notify_changed();
     }
 }
@@ -272,7 +279,7 @@
         this->log.write(
             severity::notice, "upstream_removed",
             {{"upstream", id.str()},
-             {"revision", std::to_string(change.object.revision)},
+             {"revision", std::to_string(change.object.revision.number)},
              {"trusted", kept_until ? "no" : "yes"},
              {"since_store_failure_ms", this->since_store_failure()}});
     }
--- a/src/services/gateway/store_follower.h
+++ b/src/services/gateway/store_follower.h
@@ -6,6 +6,7 @@
 #include "services/gateway/node_registration.h"
 #include "services/gateway/peer_mesh.h"
 #include "services/gateway/peer_messages.h"
+#include "services/gateway/snapshot_codec.h"
 #include "services/gateway/store_mirror.h"
 
 #include <array>
@@ -34,15 +35,18 @@
 
     /// \return The revision of each kind, indexed by object_kind; 0 if no list
     ///         was read yet.
-    [[nodiscard]] auto revisions() const -> std::vector<std::int64_t>;
+    [[nodiscard]] auto revisions() const
+        -> std::vector<serving::store_revision>;
 
     /// \return The state of the mirror of each kind of object, for metrics.
     [[nodiscard]] auto views() const -> std::vector<store_view>;
 
     /// Handles the revisions that a peer reports, and fetches newer ones from
     /// it.
-    auto on_peer_revisions(const core::node_id& peer,
-                           const std::vector<std::int64_t>& revisions) -> void;
+    auto
+    on_peer_revisions(const core::node_id& peer,
+                      const std::vector<serving::store_revision>& revisions)
+        -> void;
 
     /// Handles the version of the configuration that a peer reports as in
     /// force. Revisions alone do not show that this node has missed a version,
@@ -75,6 +79,8 @@
     auto mirror(adapter::object_kind kind) -> store_mirror&;
     auto next_watch_wait() -> core::milliseconds;
     auto on_store_failed() -> void;
+    /// Reads all kinds of objects again that were read in an earlier era.
+    auto on_store_restored(std::int64_t era) -> void;
     /// \return The time until which the upstream of a removed entry stays in
     ///         use, as the entry may have expired in an outage of the store;
     ///         std::nullopt if the removal is trusted.
@@ -91,17 +97,19 @@
     auto on_evacuations() -> void;
     auto on_nodes() -> void;
     auto fetch_from(const core::node_id& peer, std::size_t kind,
-                    std::int64_t since) -> void;
+                    const serving::store_revision& since) -> void;
     auto update_following() -> void;
     /// \return How long to wait for the change from the store or other peers
     ///         before it is fetched from \a peer.
     /// \param follows Whether this node watches the store itself.
     [[nodiscard]] auto fetch_delay(const core::node_id& peer,
                                    bool follows) const -> core::milliseconds;
-    [[nodiscard]] auto encode_since(std::size_t kind,
-                                    std::int64_t revision) const -> std::string;
+    [[nodiscard]] auto
+    encode_since(std::size_t kind,
+                 const serving::store_revision& revision) const -> std::string;
+    auto answer_request(const snapshot_request& request) -> std::string;
     /// \param may_compress Whether the calling node reads compressed answers.
-    auto answer_since(std::size_t kind, std::int64_t revision,
+    auto answer_since(std::size_t kind, const serving::store_revision& revision,
                       bool may_compress) -> std::string;
     auto apply_snapshot(const core::node_id& peer, std::size_t kind,
                         const std::string& body) -> void;
@@ -121,8 +129,8 @@
     /// nodes request the same one.
     struct snapshot_cache
     {
-        std::int64_t revision = 0;
-        std::map<std::int64_t, std::string> by_since;
+        serving::store_revision revision;
+        std::map<serving::store_revision, std::string> by_since;
     };
     std::array<snapshot_cache, kind_count> snapshots;
     adapter::node_entry own_entry;
--- a/src/services/gateway/store_mirror.cpp
+++ b/src/services/gateway/store_mirror.cpp
@@ -64,7 +64,8 @@
     if (!this->follows) {
         return;
     }
-    if (this->must_list) {
+    // The history of an earlier era does not continue.
+    if (this->must_list || this->current_revision.era < this->store_era) {
         this->incoming.clear();
         this->list("");
     } else {
@@ -73,26 +74,29 @@
 }
 
 auto store_mirror::call(std::string request, core::milliseconds timeout,
-                        std::function<void(int, std::string)> done) -> void
+                        std::function<void(const store_answer&)> done) -> void
 {
     ++this->call_count;
     this->call_started = this->event_loop.now();
     this->timeout_timer.start(timeout);
-    auto body = std::make_shared<std::string>();
-    auto status = std::make_shared<int>(failure_status);
+    auto answer = std::make_shared<store_answer>();
     auto pool_callbacks = http1::pool_hooks();
-    pool_callbacks.on_head = [status](const http1::response_head& head) {
-        *status = head.status;
+    pool_callbacks.on_head = [answer](const http1::response_head& head) {
+        answer->status = head.status;
+        answer->era = adapter::store_era(head.headers);
     };
-    pool_callbacks.on_body = [body](std::string_view bytes) {
-        *body += bytes;
-    };
-    pool_callbacks.on_done = [this, body, status, done = std::move(done)](
-                                 std::error_code error, bool) {
-        this->timeout_timer.stop();
-        this->active.reset();
-        done(error ? failure_status : *status, std::move(*body));
+    pool_callbacks.on_body = [answer](std::string_view bytes) {
+        answer->body += bytes;
     };
+    pool_callbacks.on_done =
+        [this, answer, done = std::move(done)](std::error_code error, bool) {
+            this->timeout_timer.stop();
+            this->active.reset();
+            if (error) {
+                answer->status = failure_status;
+            }
+            done(*answer);
+        };
     auto options = http1::call_options();
     // A page is a megabyte; the answer to a watch may contain several objects
     // of that size.
@@ -112,30 +116,33 @@
     // The first list of a kind with many objects may be stale, because the
     // watch that follows it returns the changes since. Later lists must not be
     // older than the current revision.
-    const auto is_first = this->current_revision == 0;
+    const auto is_first = !this->listed;
     const auto wanted = is_first && this->has_paged_lists()
                             ? adapter::freshness::may_be_stale
                             : adapter::freshness::newest;
     if (after.empty()) {
         this->incoming.clear();
-        this->incoming_revision = std::numeric_limits<std::int64_t>::max();
+        this->incoming_revision = {this->store_era,
+                                   std::numeric_limits<std::int64_t>::max()};
     }
     this->call(
         adapter::encode_list(this->store, this->object_kind, after, wanted),
-        call_timeout, [this](int status, const std::string& body) {
-            this->on_page(status, body);
-        });
+        call_timeout,
+        [this](const store_answer& answer) { this->on_page(answer); });
 }
 
-auto store_mirror::on_page(int status, const std::string& body) -> void
+auto store_mirror::on_page(const store_answer& answer) -> void
 {
-    if (adapter::store_error(status)) {
-        this->fail(status, "list_refused");
+    if (this->check_era(answer)) {
+        return;
+    }
+    if (adapter::store_error(answer.status)) {
+        this->fail(answer.status, "list_refused");
         return;
     }
-    auto page = adapter::decode_page(body);
+    auto page = adapter::decode_page(answer.body, this->store_era);
     if (!page) {
-        this->fail(status, "list_unreadable");
+        this->fail(answer.status, "list_unreadable");
         return;
     }
     this->log_unreadable_entries(page.value().unreadable);
@@ -150,18 +157,90 @@
         this->list(page.value().next_after);
         return;
     }
+    this->on_whole_list();
+}
+
+auto store_mirror::on_whole_list() -> void
+{
     this->must_list = false;
     this->succeed();
-    if (this->incoming_revision >= this->current_revision) {
-        this->current = std::exchange(this->incoming, {});
-        this->current_revision = this->incoming_revision;
-        this->listed = true;
-        this->clear_history();
-        this->callbacks.on_list();
+    if (this->incoming_revision < this->current_revision) {
+        // A peer has provided newer objects meanwhile, or the store was
+        // restored and states no era. It rejects a watch at once then.
+        this->read_timer.start(min_backoff);
+        return;
     }
+    this->begin_era(this->incoming_revision);
+    this->current = std::exchange(this->incoming, {});
+    this->current_revision = this->incoming_revision;
+    this->listed = true;
+    this->clear_history();
+    this->callbacks.on_list();
     this->watch();
 }
 
+auto store_mirror::check_era(const store_answer& answer) -> bool
+{
+    if (answer.era == 0 || answer.era == this->store_era) {
+        return false;
+    }
+    if (answer.era < this->store_era) {
+        this->fail(answer.status, "answer_of_earlier_era");
+        return true;
+    }
+    if (!this->listed && this->store_era == 0) {
+        this->store_era = answer.era;
+        this->incoming_revision.era = answer.era;
+        return false;
+    }
+    this->log.write(
+        severity::notice, "store_restored",
+        {{"kind", std::string(text_of(this->object_kind))},
+         {"era", std::to_string(answer.era)},
+         {"had_era", std::to_string(this->store_era)},
+         {"revision", std::to_string(this->current_revision.number)}});
+    const auto era = answer.era;
+    this->require_era(era);
+    if (this->callbacks.on_restored) {
+        this->callbacks.on_restored(era);
+    }
+    return true;
+}
+
+auto store_mirror::require_era(std::int64_t era) -> void
+{
+    if (era <= this->store_era) {
+        return;
+    }
+    this->store_era = era;
+    if (!this->follows || era == this->current_revision.era) {
+        return;
+    }
+    this->cancel_call();
+    this->must_list = true;
+    this->read_store();
+}
+
+auto store_mirror::begin_era(const serving::store_revision& first) -> void
+{
+    const auto is_restored =
+        this->listed && first.era > this->current_revision.era;
+    this->store_era = std::max(this->store_era, first.era);
+    if (is_restored) {
+        // Entries that the copy lacks are written again, as after an outage.
+        this->outage_end = this->event_loop.now();
+    }
+}
+
+auto store_mirror::cancel_call() -> void
+{
+    this->read_timer.stop();
+    this->timeout_timer.stop();
+    if (const auto open = std::exchange(this->active, nullptr)) {
+        open->cancel();
+    }
+}
+
 auto store_mirror::watch() -> void
 {
     const auto wait = std::exchange(this->must_probe, false)
@@ -169,20 +248,24 @@
                           : this->callbacks.watch_wait();
     this->call(adapter::encode_watch(this->store, this->object_kind,
                                      this->current_revision, wait),
-               wait + call_timeout,
-               [this](int status, const std::string& body) {
-                   this->on_watch_answer(status, body);
+               wait + call_timeout, [this](const store_answer& answer) {
+                   this->on_watch_answer(answer);
                });
 }
 
-auto store_mirror::on_watch_answer(int status, const std::string& body) -> void
+auto store_mirror::on_watch_answer(const store_answer& answer) -> void
 {
+    if (this->check_era(answer)) {
+        return;
+    }
+    const auto status = answer.status;
     const auto error = adapter::store_error(status);
     if (error == adapter::adapter_errc::history_gone) {
         this->must_list = true;
-        this->log.write(severity::notice, "store_history_gone",
-                        {{"kind", std::string(text_of(this->object_kind))},
-                         {"revision", std::to_string(this->current_revision)}});
+        this->log.write(
+            severity::notice, "store_history_gone",
+            {{"kind", std::string(text_of(this->object_kind))},
+             {"revision", std::to_string(this->current_revision.number)}});
         this->read_store();
         return;
     }
@@ -194,7 +277,7 @@
         this->fail(status, "watch_refused");
         return;
     }
-    auto received = adapter::decode_changes(body);
+    auto received = adapter::decode_changes(answer.body, this->store_era);
     if (!received) {
         this->must_list = true;
         this->fail(status, "watch_unreadable");
@@ -210,9 +293,10 @@
 {
     this->is_checking_cut = true;
     this->must_probe = true;
-    this->log.write(severity::notice, "store_watch_cut",
-                    {{"kind", std::string(text_of(this->object_kind))},
-                     {"revision", std::to_string(this->current_revision)}});
+    this->log.write(
+        severity::notice, "store_watch_cut",
+        {{"kind", std::string(text_of(this->object_kind))},
+         {"revision", std::to_string(this->current_revision.number)}});
     if (this->callbacks.on_failed) {
         this->callbacks.on_failed();
     }
@@ -224,20 +308,17 @@
     if (std::exchange(this->follows, wanted) == wanted) {
         return;
     }
-    this->log.write(severity::notice, "store_following",
-                    {{"kind", std::string(text_of(this->object_kind))},
-                     {"follows", wanted ? "yes" : "no"},
-                     {"revision", std::to_string(this->current_revision)}});
+    this->log.write(
+        severity::notice, "store_following",
+        {{"kind", std::string(text_of(this->object_kind))},
+         {"follows", wanted ? "yes" : "no"},
+         {"revision", std::to_string(this->current_revision.number)}});
     if (wanted) {
         this->must_probe = this->listed;
         this->read_store();
         return;
     }
-    this->read_timer.stop();
-    this->timeout_timer.stop();
-    if (const auto open = std::exchange(this->active, nullptr)) {
-        open->cancel();
-    }
+    this->cancel_call();
 }
 
 auto store_mirror::is_following() const -> bool
@@ -253,11 +334,12 @@
     this->outage_end = this->failed_at;
     this->must_probe = true;
     if (std::exchange(this->connected, false) || this->failures == 0) {
-        this->log.write(severity::notice, "store_lost",
-                        {{"kind", std::string(text_of(this->object_kind))},
-                         {"reason", std::string(reason)},
-                         {"status", std::to_string(status)},
-                         {"revision", std::to_string(this->current_revision)}});
+        this->log.write(
+            severity::notice, "store_lost",
+            {{"kind", std::string(text_of(this->object_kind))},
+             {"reason", std::string(reason)},
+             {"status", std::to_string(status)},
+             {"revision", std::to_string(this->current_revision.number)}});
     }
     const auto shift = std::min(this->failures, 4);
     const auto is_first = this->failures == 0;
@@ -275,9 +357,10 @@
         this->outage_end = this->event_loop.now();
     }
     if (!std::exchange(this->connected, true)) {
-        this->log.write(severity::notice, "store_regained",
-                        {{"kind", std::string(text_of(this->object_kind))},
-                         {"revision", std::to_string(this->current_revision)}});
+        this->log.write(
+            severity::notice, "store_regained",
+            {{"kind", std::string(text_of(this->object_kind))},
+             {"revision", std::to_string(this->current_revision.number)}});
     }
 }
 
@@ -309,7 +392,7 @@
     return this->current;
 }
 
-auto store_mirror::revision() const -> std::int64_t
+auto store_mirror::revision() const -> serving::store_revision
 {
     return this->current_revision;
 }
--- a/src/services/gateway/store_mirror.h
+++ b/src/services/gateway/store_mirror.h
@@ -19,7 +19,8 @@
 
 /// A local copy of the store's objects of one kind, kept up to date by a list
 /// and watches. It keeps its content while the store is unavailable, and never
-/// returns to an older revision.
+/// returns to an older revision. When the store has been restored from a copy,
+/// which its answers show by a later era, all objects are read again.
 class store_mirror
 {
 public:
@@ -32,6 +33,9 @@
             on_changes;
         /// Called when all objects were replaced by a new list.
         std::function<void()> on_list;
+        /// Called when an answer of the store shows a later era, before its
+        /// objects are read; may be empty.
+        std::function<void(std::int64_t era)> on_restored;
         /// Called on the first of consecutive failed calls; may be empty.
         std::function<void()> on_failed;
     };
@@ -50,7 +54,8 @@
 
     /// \return The changes since \a revision; std::nullopt if no list was read
     ///         or the history no longer reaches back to that revision.
-    [[nodiscard]] auto changes_since(std::int64_t revision) const
+    [[nodiscard]] auto
+    changes_since(const serving::store_revision& revision) const
         -> std::optional<std::vector<adapter::object_change>>;
 
     /// Applies changes that another node has received, if they are newer.
@@ -59,9 +64,14 @@
     /// Replaces the objects by a list that another node has read, if that list
     /// is newer; otherwise only updates known objects that are newer there.
     /// \return Whether the list or an object of it was applied.
-    auto adopt(std::int64_t revision,
+    auto adopt(const serving::store_revision& revision,
                std::vector<adapter::stored_object> objects) -> bool;
 
+    /// Reads all objects again, unless that has been done since the store was
+    /// restored.
+    /// \param era The store's present era.
+    auto require_era(std::int64_t era) -> void;
+
     /// Cancels and repeats a call that has been open for longer than
     /// \a max_age. Used when the call has probably stopped receiving changes,
     /// as another node has a newer revision or the store has failed.
@@ -69,7 +79,7 @@
 
     [[nodiscard]] auto objects() const
         -> const std::map<std::string, adapter::stored_object>&;
-    [[nodiscard]] auto revision() const -> std::int64_t;
+    [[nodiscard]] auto revision() const -> serving::store_revision;
     [[nodiscard]] auto kind() const -> adapter::object_kind;
 
     /// \return Whether a list was read from the store or from another node.
@@ -91,15 +101,32 @@
     [[nodiscard]] auto calls_made() const -> std::uint64_t;
 
 private:
+    /// An answer of the store.
+    struct store_answer
+    {
+        /// HTTP status; 0 if the call failed.
+        int status = 0;
+        std::string body;
+        /// 0 if the answer states none.
+        std::int64_t era = 0;
+    };
+
     auto read_store() -> void;
     auto call(std::string request, core::milliseconds timeout,
-              std::function<void(int, std::string)> done) -> void;
+              std::function<void(const store_answer&)> done) -> void;
     /// \return Whether the kind's lists take several pages.
     [[nodiscard]] auto has_paged_lists() const -> bool;
     auto list(const std::string& after) -> void;
-    auto on_page(int status, const std::string& body) -> void;
+    auto on_page(const store_answer& answer) -> void;
+    auto on_whole_list() -> void;
     auto watch() -> void;
-    auto on_watch_answer(int status, const std::string& body) -> void;
+    auto on_watch_answer(const store_answer& answer) -> void;
+    /// \return Whether the answer is of another era than the one that is being
+    ///         read; handles the answer then.
+    auto check_era(const store_answer& answer) -> bool;
+    auto cancel_call() -> void;
+    /// Called before objects of a later era replace the present ones.
+    auto begin_era(const serving::store_revision& first) -> void;
     auto fail(int status, std::string_view reason) -> void;
     /// A connection to the store ended while a watch was waiting. That is no
     /// outage unless the next call fails too.
@@ -123,11 +150,13 @@
     std::map<std::string, adapter::stored_object> current;
     std::map<std::string, adapter::stored_object> incoming;
     /// Lowest revision among the pages read so far of the current list.
-    std::int64_t incoming_revision = 0;
-    std::int64_t current_revision = 0;
+    serving::store_revision incoming_revision;
+    serving::store_revision current_revision;
+    /// Latest era that is known of the store.
+    std::int64_t store_era = 0;
     /// Changes since history_start, oldest first.
     std::deque<adapter::object_change> history;
-    std::int64_t history_start = 0;
+    serving::store_revision history_start;
     bool follows = true;
     bool listed = false;
     bool must_list = true;
--- a/src/services/gateway/store_mirror_changes.cpp
+++ b/src/services/gateway/store_mirror_changes.cpp
@@ -60,10 +60,11 @@
     this->history_start = this->current_revision;
 }
 
-auto store_mirror::changes_since(std::int64_t revision) const
+auto store_mirror::changes_since(const serving::store_revision& revision) const
     -> std::optional<std::vector<adapter::object_change>>
 {
-    if (revision < this->history_start || !this->listed) {
+    if (revision < this->history_start || !this->listed ||
+        revision.era != this->current_revision.era) {
         return std::nullopt;
     }
     auto changes = std::vector<adapter::object_change>();
@@ -78,17 +79,23 @@
 auto store_mirror::adopt_changes(const adapter::object_changes& received)
     -> void
 {
-    if (received.revision > this->current_revision && this->listed) {
+    // Changes of a later era do not show what was lost with the earlier one.
+    const auto is_same_era =
+        received.revision.era == this->current_revision.era;
+    if (received.revision > this->current_revision && is_same_era &&
+        this->listed) {
         this->apply(received);
     }
 }
 
-auto store_mirror::adopt(std::int64_t newer,
+auto store_mirror::adopt(const serving::store_revision& newer,
                          std::vector<adapter::stored_object> objects) -> bool
 {
     if (newer <= this->current_revision && this->listed) {
         return this->adopt_newer_objects(std::move(objects));
     }
+    const auto is_new_era = newer.era > this->current_revision.era;
+    this->begin_era(newer);
     this->current.clear();
     for (auto& object : objects) {
         auto name = object.name;
@@ -98,6 +105,13 @@
     this->listed = true;
     this->clear_history();
     this->callbacks.on_list();
+    if (is_new_era && this->follows) {
+        // An open watch continues the history of the earlier era.
+        this->cancel_call();
+        this->must_list = false;
+        this->must_probe = true;
+        this->read_store();
+    }
     return true;
 }
 
--- a/src/services/gateway/store_snapshots.cpp
+++ b/src/services/gateway/store_snapshots.cpp
@@ -9,7 +9,8 @@
 
 namespace almondtiller::gateway {
 
-auto store_follower::encode_since(std::size_t kind, std::int64_t since) const
+auto store_follower::encode_since(std::size_t kind,
+                                  const serving::store_revision& since) const
     -> std::string
 {
     const auto& mirror = *this->mirrors[kind];
@@ -21,7 +22,21 @@
            adapter::encode_page(mirror.objects(), mirror.revision());
 }
 
-auto store_follower::answer_since(std::size_t kind, std::int64_t since,
+auto store_follower::answer_request(const snapshot_request& request)
+    -> std::string
+{
+    if (request.kind >= kind_count) {
+        return {};
+    }
+    // Earlier versions of the program do not know of eras.
+    const auto own_era = this->mirrors[request.kind]->revision().era;
+    return this->answer_since(request.kind,
+                              {request.era.value_or(own_era), request.since},
+                              request.may_compress);
+}
+
+auto store_follower::answer_since(std::size_t kind,
+                                  const serving::store_revision& since,
                                   bool may_compress) -> std::string
 {
     if (!may_compress) {
@@ -62,8 +77,8 @@
 }
 
 auto store_follower::on_peer_revisions(
-    const core::node_id& peer, const std::vector<std::int64_t>& revisions)
-    -> void
+    const core::node_id& peer,
+    const std::vector<serving::store_revision>& revisions) -> void
 {
     const auto now = this->event_loop.now();
     for (auto kind = std::size_t(0);
@@ -85,23 +100,23 @@
     const auto own = in_force ? in_force->version : 0;
     const auto kind = index_of(adapter::object_kind::configurations);
     const auto follows = this->mirrors[kind]->is_following();
-    if (version > own &&
-        this->configuration_throttle.should_fetch(
-            own, this->fetch_delay(peer, follows), this->event_loop.now())) {
-        this->fetch_from(peer, kind, full_list);
+    if (version > own && this->configuration_throttle.should_fetch(
+                             {0, own}, this->fetch_delay(peer, follows),
+                             this->event_loop.now())) {
+        this->fetch_from(peer, kind, {0, full_list});
     }
 }
 
 auto store_follower::fetch_from(const core::node_id& peer, std::size_t kind,
-                                std::int64_t since) -> void
+                                const serving::store_revision& since) -> void
 {
     this->mesh.call(
         peer, snapshot_topic,
-        std::to_string(kind) + " " + std::to_string(since) + accepts_compressed,
+        encode_snapshot_request({kind, since.number, true, since.era}),
         snapshot_timeout,
         [this, peer, kind, since](const core::result<std::string>& answer) {
-            (since == full_list ? this->configuration_throttle
-                                : this->throttles[kind])
+            (since.number == full_list ? this->configuration_throttle
+                                       : this->throttles[kind])
                 .on_answer();
             if (!answer) {
                 this->log.write(severity::notice, "snapshot_failed",
@@ -160,8 +175,9 @@
     this->log.write(severity::notice, "adopted_from_peer",
                     {{"peer", peer.str()},
                      {"kind", std::string(text_of(mirror.kind()))},
-                     {"revision", std::to_string(mirror.revision())},
-                     {"had", std::to_string(previous_revision)}});
+                     {"era", std::to_string(mirror.revision().era)},
+                     {"revision", std::to_string(mirror.revision().number)},
+                     {"had", std::to_string(previous_revision.number)}});
     if (mirror.is_following()) {
         mirror.restart_silent_call(max_watch_silence);
     }
--- a/tests/fakes/gateway_world/fake_store.cpp
+++ b/tests/fakes/gateway_world/fake_store.cpp
@@ -129,6 +129,23 @@
     }
 }
 
+auto fake_store::keep_copy() -> void
+{
+    this->copied_objects = this->objects;
+    this->copied_revision = this->revision;
+}
+
+auto fake_store::restore() -> void
+{
+    ++this->era;
+    this->objects = this->copied_objects;
+    this->revision = this->copied_revision;
+    std::erase_if(this->history, [this](const auto& entry) {
+        return entry.revision > this->revision;
+    });
+    this->cut_watches();
+}
+
 auto fake_store::cut_watches() -> void
 {
     for (const auto& waiting : std::exchange(this->watches, {})) {
@@ -144,7 +161,9 @@
 auto fake_store::answer(const std::shared_ptr<http1::exchange>& exchange,
                         int status, const json& body) -> void
 {
-    exchange->respond(status, {{"Content-Type", "application/json"}},
+    exchange->respond(status,
+                      {{"Content-Type", "application/json"},
+                       {"Store-Era", std::to_string(this->era)}},
                       body.dump());
 }
 
@@ -226,7 +245,7 @@
         return;
     }
     const auto from = std::int64_t(std::stoll(since));
-    if (from < this->oldest) {
+    if (from < this->oldest || from > this->revision) {
         this->answer(exchange, 410, json::object());
         return;
     }
--- a/tests/fakes/gateway_world/fake_store.h
+++ b/tests/fakes/gateway_world/fake_store.h
@@ -71,6 +71,12 @@
     /// current revision, get 410.
     auto compact() -> void;
 
+    /// Keeps a copy of all objects for restore().
+    auto keep_copy() -> void;
+    /// Returns to the copy: the changes since are lost, their revisions are
+    /// assigned again, and answers state a new era. Open watches are cut.
+    auto restore() -> void;
+
     /// Closes the connections of all waiting watches without an answer.
     auto cut_watches() -> void;
 
@@ -118,6 +124,9 @@
 
     object_map objects;
     std::optional<object_map> stale_objects;
+    object_map copied_objects;
+    std::int64_t copied_revision = 0;
+    std::int64_t era = 1;
     std::int64_t stale_revision = 0;
     std::function<void(const std::string&)> page_hook;
     std::vector<change> history;
--- a/tests/unit/gateway/peer_gossip_test.cpp
+++ b/tests/unit/gateway/peer_gossip_test.cpp
@@ -16,7 +16,7 @@
     {
         EXPECT_FALSE(this->peer.bind({"127.0.0.1", 0}));
         this->entry.node = core::node_id("peer");
-        this->entry.revision = 7;
+        this->entry.revision = {0, 7};
         this->entry.peers = {"127.0.0.1", std::uint16_t(this->peer.port())};
         EXPECT_FALSE(this->gossip.listen({"127.0.0.1", 0}));
         this->gossip.set_members({this->entry});
@@ -88,7 +88,7 @@
     ASSERT_TRUE(this->run_until(
         [this]() { return !this->gossip.is_alive(this->entry.node); }));
     this->answers_as = this->entry.node;
-    this->entry.revision = 8;
+    this->entry.revision = {0, 8};
     this->gossip.set_members({this->entry});
     EXPECT_TRUE(this->gossip.is_alive(this->entry.node));
 }
--- a/tests/unit/gateway/peer_messages_test.cpp
+++ b/tests/unit/gateway/peer_messages_test.cpp
@@ -78,7 +78,7 @@
     status.front = {"127.0.0.1", 80};
     status.zone = core::zone_name("z");
     status.capacity = {0.5, 200};
-    status.revisions = {4, 5, 6, 7};
+    status.revisions = {{2, 4}, {2, 5}, {1, 6}, {2, 7}};
     status.configuration = 9;
     status.quarantined = {3, 7};
     status.quarantined_requests = {5};
--- a/tests/unit/gateway/store_mirror_test.cpp
+++ b/tests/unit/gateway/store_mirror_test.cpp
@@ -60,7 +60,8 @@
     this->world.store.put("servers", "late", {{"state", "ready"}});
     auto entry = adapter::stored_object();
     entry.name = "late";
-    entry.revision = this->mirror.revision() + 2;
+    entry.revision = this->mirror.revision();
+    entry.revision.number += 2;
     this->mirror.adopt_changes({{{entry, true}}, entry.revision, 0});
     this->world.run_for(core::milliseconds(300));
     EXPECT_FALSE(this->mirror.objects().contains("late"));
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -185,6 +185,29 @@
         return record;
     }
 
+    /// Raises the store's revision by heartbeats of an upstream.
+    auto write_entries(int count) -> void
+    {
+        for (auto number = 0; number < count; ++number) {
+            this->world.register_upstream(*this->world.upstreams["desk-a"],
+                                          "ready");
+        }
+    }
+
+    /// \return Whether each node serves requests with an API key within the
+    ///         time in which a configuration must be in force.
+    auto serves_key_everywhere(const std::string& key) -> bool
+    {
+        constexpr auto bound = core::milliseconds(2000);
+        const auto begin = this->world.loop.now();
+        for (auto at = std::size_t(0); at < this->nodes.size(); ++at) {
+            this->world.run_until([&]() {
+                return this->send_request("read", at, key).status == 200;
+            });
+        }
+        return this->world.loop.now() - begin < bound;
+    }
+
     /// \return The number of requests that reached an upstream since \a begin.
     auto arrivals_since(core::time_point begin, const std::string& upstream)
         -> std::size_t
@@ -1093,6 +1116,53 @@
     }));
 }
 
+// Guards against changes that are missed while a restored store has not yet
+// reached the revision from before again.
+TEST_F(whole_path_test, follows_a_store_that_is_restored_from_a_copy)
+{
+    this->world.store.keep_copy();
+    this->write_entries(40);
+    this->world.put_config({"key", "lost"});
+    ASSERT_TRUE(this->serves_key_everywhere("lost"));
+    this->world.store.restore();
+    this->world.put_config({"key", "later"});
+    const auto begin = this->world.store.calls();
+    EXPECT_TRUE(this->serves_key_everywhere("later"));
+    EXPECT_LT(this->world.store.calls() - begin, 200U);
+}
+
+// A restored store that has passed the revision from before does not reject the
+// watches of the nodes. Guards against the loss of what it contains up to that
+// revision.
+TEST_F(whole_path_test, reads_all_objects_of_a_restored_store)
+{
+    this->world.store.keep_copy();
+    this->write_entries(20);
+    this->world.put_config({"key", "lost"});
+    ASSERT_TRUE(this->serves_key_everywhere("lost"));
+    this->world.store.set_mode(store_mode::silent);
+    this->world.store.restore();
+    this->world.put_config({"key", "later"});
+    this->write_entries(40);
+    this->world.store.set_mode(store_mode::serves);
+    EXPECT_TRUE(this->serves_key_everywhere("later"));
+}
+
+// The registrations are newer than the copy.
+TEST_F(whole_path_test, nodes_register_again_in_a_restored_store)
+{
+    this->world.store.keep_copy();
+    auto& late = this->add_node("b");
+    this->wait_ready(late);
+    EXPECT_TRUE(this->wait_for_peers());
+    const auto name = late.settings.node.str();
+    this->world.store.restore();
+    EXPECT_FALSE(this->world.store.has(node_kind, name));
+    EXPECT_TRUE(this->world.run_until(
+        [&]() { return this->world.store.has(node_kind, name); }));
+    EXPECT_TRUE(this->wait_for_peers());
+}
+
 // Guards against a lost change: the watches miss a configuration and continue
 // at later revisions, so that only nodes that start afterwards have it.
 TEST_F(whole_path_test, fetches_a_missed_configuration_from_a_peer)
