Hold signals back until their handlers are installed

Users saw: processes ended by themselves (FAULT, no logs). This is one way; whether it is theirs can't be told.

Cause: the default action of SIGHUP ends a process, and the handlers were installed after the settings had been read and all parts made.

Change: main() blocks SIGHUP, SIGTERM and SIGINT first and unblocks them when the handlers are installed.

--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -1,4 +1,5 @@
 #include "core/metrics.h"
+#include "event/signal_hold.h"
 #include "platform/settings_file.h"
 #include "services/gateway/event_log.h"
 #include "services/gateway/gateway.h"
@@ -25,7 +26,9 @@
     return path == nullptr ? std::string() : std::string(path);
 }
 
-auto run(const std::string& path, const serving::node_settings& settings) -> int
+/// \param hold Released when the handlers are installed.
+auto run(const std::string& path, const serving::node_settings& settings,
+         event::signal_hold& hold) -> int
 {
     const auto clock = core::runtime_clock();
     auto loop = event::loop(clock);
@@ -44,6 +47,7 @@
             node.reload(again.settings);
         }
     });
+    hold.release();
     log.write(gateway::severity::notice, "started",
               {{"zone", settings.zone.str()},
                {"front", core::to_text(settings.front)}});
@@ -61,6 +65,7 @@
 
 auto main(int argc, char** argv) -> int
 {
+    auto hold = event::signal_hold({SIGTERM, SIGINT, SIGHUP});
     const auto path = settings_path(argc, argv);
     if (path.empty() || path == "--help") {
         std::cout << "usage: almondtiller_gateway [SETTINGS]\n"
@@ -75,5 +80,5 @@
                   << loaded.detail << "\n";
         return usage_status;
     }
-    return run(path, loaded.settings);
+    return run(path, loaded.settings, hold);
 }
