Wait for addresses that are in use at the start

Users saw: the system did not start (FAULT, no logs). This is one way; whether it is theirs can't be told.

Cause: a node that could not listen on one of its addresses ended with status 1. A predecessor that still finishes its requests has them.

Change: an address that is in use, or not assigned yet, is tried again each 100 ms (address_not_available, then listening). The node follows the store when it has all of them.

--- a/src/services/gateway/gateway.cpp
+++ b/src/services/gateway/gateway.cpp
@@ -274,15 +274,8 @@
     });
     serve_peers(this->mesh, this->local, this->event_loop, this->log);
     this->crashes.serve();
-    if (const auto error = this->mesh.listen()) {
-        return error;
-    }
-    if (const auto error = this->listen_all()) {
-        return error;
-    }
-    this->follower.start(this->own_entry());
-    this->sweep_timer.start_repeating(sweep_interval, sweep_interval);
-    return {};
+    this->listen_steps = this->make_listen_steps();
+    return this->continue_start();
 }
 
 node::node(event::loop& event_loop, serving::node_settings settings,
--- a/src/services/gateway/node_front.cpp
+++ b/src/services/gateway/node_front.cpp
@@ -11,39 +11,75 @@
 
 namespace almondtiller::gateway {
 
-auto node::state::listen_all() -> std::error_code
+auto node::state::make_listen_steps()
+    -> std::vector<std::function<std::error_code()>>
 {
     using handler = void (state::*)(const http1::request_message&,
                                     const std::shared_ptr<http1::exchange>&);
     const auto open = [this](const core::endpoint& address, handler handles) {
-        return this->listen(address,
-                            [this, handles](auto message, auto exchange) {
-                                (this->*handles)(message, exchange);
-                            });
+        return [this, address, handles]() {
+            return this->listen(address,
+                                [this, handles](auto message, auto exchange) {
+                                    (this->*handles)(message, exchange);
+                                });
+        };
     };
-    if (const auto error =
-            open(this->settings.front, &state::on_front_request)) {
-        return error;
-    }
-    if (const auto error =
-            open(this->settings.readiness, &state::on_readiness_check)) {
-        return error;
-    }
+    auto steps = std::vector<std::function<std::error_code()>>{
+        [this]() { return this->mesh.listen(); },
+        open(this->settings.front, &state::on_front_request),
+        open(this->settings.readiness, &state::on_readiness_check)};
     if (this->settings.directory != this->settings.readiness &&
         this->settings.directory != this->settings.front) {
-        if (const auto error =
-                open(this->settings.directory, &state::on_directory_request)) {
+        steps.push_back(
+            open(this->settings.directory, &state::on_directory_request));
+    }
+    return steps;
+}
+
+auto node::state::continue_start() -> std::error_code
+{
+    while (!this->listen_steps.empty()) {
+        const auto error = this->listen_steps.front()();
+        if (error == std::errc::address_in_use ||
+            error == std::errc::address_not_available) {
+            if (!std::exchange(this->is_address_taken, true)) {
+                this->log.write(severity::failure, "address_not_available",
+                                {{"error", error.message()}});
+            }
+            this->listen_timer.start(listen_retry_delay);
+            return {};
+        }
+        if (error) {
             return error;
         }
+        this->listen_steps.erase(this->listen_steps.begin());
     }
-    if (const auto error =
-            open(this->settings.metrics, &state::on_metrics_request)) {
+    const auto error = this->listen(
+        this->settings.metrics, [this](auto message, auto exchange) {
+            this->on_metrics_request(message, exchange);
+        });
+    if (error) {
         this->log.write(severity::notice, "metrics_not_served",
                         {{"error", error.message()}});
     }
+    this->log.write(severity::notice, "listening", {});
+    this->follower.start(this->own_entry());
+    this->sweep_timer.start_repeating(sweep_interval, sweep_interval);
     return {};
 }
 
+auto node::state::retry_start() -> void
+{
+    if (this->is_leaving) {
+        return;
+    }
+    if (const auto error = this->continue_start()) {
+        this->log.write(severity::failure, "cannot_listen",
+                        {{"error", error.message()}});
+        this->listen_timer.start(listen_retry_delay);
+    }
+}
+
 auto node::state::listen(const core::endpoint& address,
                          std::function<void(http1::request_message,
                                             std::shared_ptr<http1::exchange>)>
@@ -94,7 +130,9 @@
             connection->start();
         });
     const auto error = listener->listen(address);
-    this->listeners.push_back(std::move(listener));
+    if (!error) {
+        this->listeners.push_back(std::move(listener));
+    }
     return error;
 }
 
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -29,6 +29,7 @@
 /// for a while, each with its own budget, and a window may contain only half of
 /// the first sends for which a retry was allowed.
 inline constexpr auto retry_budget_share = 0.5;
+inline constexpr auto listen_retry_delay = core::milliseconds(100);
 inline constexpr auto sweep_interval = core::milliseconds(2000);
 /// Retry-After of requests that a leaving node rejects. It is short because
 /// most callers already have the addresses of other nodes and retry there.
@@ -65,6 +66,9 @@
     std::map<core::node_id, reported_status> peer_status;
     node_status cached_status;
     std::string cached_status_text;
+    std::vector<std::function<std::error_code()>> listen_steps;
+    bool is_address_taken = false;
+    event::timer listen_timer;
     event::timer sweep_timer;
     event::timer leave_timer;
     event::timer stop_timer;
@@ -101,6 +105,7 @@
           shared{loop,          this->serving_state, this->client,
                  this->pool,    this->crashes,       logger,
                  this->metrics, this->random,        this->make_verdict_hook()},
+          listen_timer(loop, [this]() { this->retry_start(); }),
           sweep_timer(loop, [this]() { this->sweep(); }),
           leave_timer(loop, [this]() { this->continue_leaving(); }),
           stop_timer(loop, [this]() { this->on_stopped(); })
@@ -149,7 +154,14 @@
     auto on_peer_status(const core::node_id& peer, const std::string& text)
         -> void;
     auto start() -> std::error_code;
-    auto listen_all() -> std::error_code;
+    /// \return The calls that open the node's addresses, in order.
+    auto make_listen_steps() -> std::vector<std::function<std::error_code()>>;
+    /// Opens the remaining addresses, then begins to follow the store. An
+    /// address that another process has, such as the predecessor that is still
+    /// finishing its requests, is tried again until it is free.
+    /// \return An error that trying again does not mend.
+    auto continue_start() -> std::error_code;
+    auto retry_start() -> void;
     auto listen(const core::endpoint& address,
                 std::function<void(http1::request_message,
                                    std::shared_ptr<http1::exchange>)>
--- a/tests/fault/start/start_test.cpp
+++ b/tests/fault/start/start_test.cpp
@@ -1,3 +1,4 @@
+#include "event/tcp_listener.h"
 #include "gateway_world/world.h"
 #include "harness/process.h"
 
@@ -103,4 +104,29 @@
     EXPECT_EQ(this->process->wait_for_exit(), 0);
 }
 
+/// The parameter is the address that is in use.
+class address_in_use_test : public start_test,
+                            public testing::WithParamInterface<
+                                core::endpoint serving::node_settings::*>
+{};
+
+// A predecessor that still finishes its requests has the addresses. Guards
+// against a node that ends instead of waiting for them.
+TEST_P(address_in_use_test, waits_for_the_address)
+{
+    std::ofstream(this->path()) << this->text;
+    auto holder = event::tcp_listener(this->world.loop, [](auto) {});
+    ASSERT_FALSE(holder.listen(this->settings.*GetParam()));
+    const auto process = this->start();
+    ASSERT_TRUE(logs(process, "event=address_not_available"));
+    holder.close();
+    EXPECT_TRUE(logs(process, "event=listening"));
+}
+
+INSTANTIATE_TEST_SUITE_P(addresses, address_in_use_test,
+                         testing::Values(&serving::node_settings::front,
+                                         &serving::node_settings::readiness,
+                                         &serving::node_settings::directory,
+                                         &serving::node_settings::peers));
+
 } // namespace almondtiller::gateway
