--- a/tests/unit/adapter/adapter_test.cpp
+++ b/tests/unit/adapter/adapter_test.cpp
@@ -123,6 +123,26 @@
     EXPECT_TRUE(decode_upstream(page.objects.front()));
 }
 
+// Guards against a process that ends on one entry of another writer: the copy
+// of a value that is nested so deeply exhausts the stack.
+TEST(entries, drop_values_that_are_nested_too_deeply)
+{
+    constexpr auto levels = std::size_t(300000);
+    for (const auto* begin : {"[", R"(["]\"",)"}) {
+        auto nested = std::string();
+        for (auto level = std::size_t(0); level < levels; ++level) {
+            nested += begin;
+        }
+        nested += "1" + std::string(levels, ']');
+        const auto page =
+            page_of(upstream_text("i-1", with(good_body, R"("s")", nested)) +
+                    "," + upstream_text("i-2", good_body));
+        ASSERT_EQ(page.objects.size(), 2U) << begin;
+        EXPECT_FALSE(decode_upstream(page.objects[0])) << begin;
+        EXPECT_TRUE(decode_upstream(page.objects[1])) << begin;
+    }
+}
+
 TEST(entries, decode_a_configuration)
 {
     const auto page = page_of(upstream_text(
