End a leaving node only when no request is being read

Cause: a leaving node counted only requests that it had read completely. If it had none, it ended 100 ms later, and an order whose upload ended in that time was passed on and cut.

Change: it closes its listeners then, and ends when no connection is within a request any more, at the end of the grace period at the latest.

--- a/src/services/gateway/node_leave.cpp
+++ b/src/services/gateway/node_leave.cpp
@@ -51,6 +51,11 @@
             connection->close_if_idle();
         }
         if (this->flows.empty() && elapsed > min_leave_time) {
+            this->listeners.clear();
+        }
+        // A connection that remains is within a request that is being read, run
+        // or answered.
+        if (this->listeners.empty() && this->connections.empty()) {
             this->finish_leaving();
             return;
         }
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1092,6 +1092,38 @@
     this->expect_no_faults();
 }
 
+// Guards against an order that is passed on to an upstream and never answered:
+// its upload ends when the leaving node has no other request.
+TEST_F(whole_path_test, a_leaving_node_answers_a_request_that_is_being_read)
+{
+    auto& leaving = *this->nodes[0];
+    leaving.settings.grace = core::milliseconds(8000);
+    leaving.process->reload(leaving.settings);
+    auto stream = std::shared_ptr<event::tcp_stream>();
+    auto answer = std::string();
+    event::tcp_stream::connect(
+        this->world.loop, leaving.settings.front, core::milliseconds(1000),
+        [&stream](auto connected, auto) { stream = std::move(connected); });
+    ASSERT_TRUE(this->world.run_until([&]() { return stream != nullptr; }));
+    stream->start([&answer](std::string_view bytes) { answer += bytes; },
+                  [](auto) {});
+    leaving.process->leave();
+    this->world.run_for(core::milliseconds(2000));
+    stream->write("POST /book/1 HTTP/1.1\r\nHost: api.example\r\n"
+                  "X-Almondtiller-Request-Id: upload\r\n"
+                  "Authorization: Bearer key\r\n"
+                  "Content-Length: 4\r\n\r\n12");
+    this->world.run_for(core::milliseconds(1800));
+    ASSERT_FALSE(leaving.has_stopped);
+    stream->write("34");
+    EXPECT_TRUE(this->world.run_until(
+        [&answer]() { return answer.starts_with("HTTP/1.1 "); },
+        core::milliseconds(2000)));
+    EXPECT_TRUE(this->world.run_until(
+        [&leaving]() { return leaving.has_stopped; }, core::milliseconds(500)));
+    this->expect_no_faults();
+}
+
 TEST_F(whole_path_test, continues_to_serve_while_the_store_is_unavailable)
 {
     this->world.store.set_mode(store_mode::silent);
