Leave room for the last owner's requests to a cold upstream

Cause: the next owner has no record of what was sent and sends the whole rate in the same second.

Change: in its first second with a cold upstream an owner sends at most what the bound leaves beside the whole rate of another.

Not run with processes.

--- a/src/libs/dispatch/placement.cpp
+++ b/src/libs/dispatch/placement.cpp
@@ -69,8 +69,8 @@
     this->retries.set_allowance(allowance);
 }
 
-auto placement::set_upstreams(const std::vector<known_upstream>& current)
-    -> void
+auto placement::set_upstreams(const std::vector<known_upstream>& current,
+                              core::time_point now) -> void
 {
     auto kept = std::map<core::upstream_id, upstream_state>();
     for (const auto& known : current) {
@@ -81,6 +81,8 @@
         auto& state = kept[known.upstream.id];
         if (is_same) {
             state = std::move(found->second);
+        } else {
+            state.known_since = now;
         }
         state.known = known;
         state.pacer.set_limit(known.request_limit);
@@ -135,13 +137,25 @@
         return false;
     }
     if (this->service.cold_rate > 0 && state.known.cold_until() > now) {
-        const auto max_sends =
-            std::max(std::floor(this->service.cold_rate), 1.0);
-        return state.send_rate.allows(std::size_t(max_sends), now);
+        return state.send_rate.allows(this->cold_sends(state, now), now);
     }
     return true;
 }
 
+auto placement::cold_sends(const upstream_state& state,
+                           core::time_point now) const -> std::size_t
+{
+    const auto rate = this->service.cold_rate;
+    auto sends = rate;
+    if (now - state.known_since < cold_window) {
+        // The owner before may have sent as many as the rate allows.
+        const auto bound =
+            rate * this->limits.cold_factor + this->limits.cold_extra;
+        sends = std::min(sends, bound - rate);
+    }
+    return std::size_t(std::max(std::floor(sends), 1.0));
+}
+
 auto placement::available_upstreams(core::time_point now)
     -> std::vector<upstream_state*>
 {
--- a/src/libs/dispatch/placement.h
+++ b/src/libs/dispatch/placement.h
@@ -103,7 +103,10 @@
     auto set_service(const serving::service& service) -> void;
     /// Sets how many retries per window are allowed in addition to the ratio.
     auto set_retry_allowance(double allowance) -> void;
-    auto set_upstreams(const std::vector<known_upstream>& upstreams) -> void;
+    /// An upstream that was not in the last call may have received requests of
+    /// another owner until \a now.
+    auto set_upstreams(const std::vector<known_upstream>& upstreams,
+                       core::time_point now) -> void;
 
     /// Queues a request; next() returns its outcome.
     auto submit(placement_request request, core::time_point now) -> void;
@@ -129,6 +132,9 @@
     [[nodiscard]] auto speed() const -> const prefill_speed&;
 
 private:
+    /// The window for which the rate of a cold upstream holds.
+    static constexpr auto cold_window = std::chrono::seconds(1);
+
     /// A queued request with the values that each comparison of upstreams
     /// needs.
     struct waiting_request
@@ -160,7 +166,9 @@
         /// Prompt tokens that are queued or being read.
         double prefill_tokens = 0;
         prefix_cache cache;
-        rate_limit send_rate{std::chrono::seconds(1)};
+        rate_limit send_rate{cold_window};
+        /// Since when this placement has a record of every send.
+        core::time_point known_since;
         request_pacer pacer;
         routing::outlier_detector health;
         core::time_point blocked_until;
@@ -175,6 +183,9 @@
 
     [[nodiscard]] static auto prepare(placement_request request)
         -> waiting_request;
+    /// \return How many requests may be sent to a cold upstream in a window.
+    [[nodiscard]] auto cold_sends(const upstream_state& state,
+                                  core::time_point now) const -> std::size_t;
     /// \return Whether the upstream can take another request now.
     [[nodiscard]] auto is_available(upstream_state& state, core::time_point now)
         -> bool;
--- a/src/services/gateway/placement_dispatcher.cpp
+++ b/src/services/gateway/placement_dispatcher.cpp
@@ -72,7 +72,8 @@
         shard_state->scheduler.set_retry_allowance(
             this->limits.retry_allowance /
             double(std::max<std::size_t>(shard_count, 1)));
-        shard_state->scheduler.set_upstreams(this->usable_upstreams(shard_key));
+        shard_state->scheduler.set_upstreams(this->usable_upstreams(shard_key),
+                                             this->event_loop.now());
     }
 }
 
--- a/tests/unit/dispatch/placement_test.cpp
+++ b/tests/unit/dispatch/placement_test.cpp
@@ -40,7 +40,8 @@
     {
         this->scheduler.set_upstreams({make_known_upstream("a", "za"),
                                        make_known_upstream("b", "zb"),
-                                       make_known_upstream("c", "zc")});
+                                       make_known_upstream("c", "zc")},
+                                      this->now);
     }
 
     auto request(std::uint64_t ticket, const std::string& session,
@@ -121,7 +122,8 @@
 {
     auto limited = make_known_upstream("a", "za");
     limited.request_limit = 2.0;
-    this->scheduler.set_upstreams({limited, make_known_upstream("b", "zb")});
+    this->scheduler.set_upstreams({limited, make_known_upstream("b", "zb")},
+                                  this->now);
     auto counts = std::map<std::string, int>();
     for (auto ticket = 1U; ticket <= 160; ++ticket) {
         auto wanted = this->request(ticket, "s" + std::to_string(ticket), 300);
@@ -145,7 +147,7 @@
     first.request_limit = 1.0;
     auto second = make_known_upstream("b", "zb");
     second.request_limit = 0.5;
-    this->scheduler.set_upstreams({first, second});
+    this->scheduler.set_upstreams({first, second}, this->now);
     for (auto ticket = 1U; ticket <= 30; ++ticket) {
         this->scheduler.submit(this->request(ticket, "s"), this->now);
     }
@@ -180,7 +182,7 @@
             make_known_upstream("u" + std::to_string(number), "z"));
         upstreams.back().request_limit = 1.5;
     }
-    this->scheduler.set_upstreams(upstreams);
+    this->scheduler.set_upstreams(upstreams, this->now);
     auto random = core::random_source(7);
     auto submitted = std::map<std::uint64_t, core::time_point>();
     auto ticket = std::uint64_t(0);
@@ -219,7 +221,8 @@
 {
     auto limited = make_known_upstream("a", "za");
     limited.request_limit = 0.0;
-    this->scheduler.set_upstreams({limited, make_known_upstream("b", "zb", 1)});
+    this->scheduler.set_upstreams({limited, make_known_upstream("b", "zb", 1)},
+                                  this->now);
     for (auto ticket = 1U; ticket <= 10; ++ticket) {
         this->scheduler.submit(this->request(ticket, "s"), this->now);
     }
@@ -233,7 +236,7 @@
 {
     auto limited = make_known_upstream("a", "za");
     limited.request_limit = 1.0;
-    this->scheduler.set_upstreams({limited});
+    this->scheduler.set_upstreams({limited}, this->now);
     for (auto ticket = 1U; ticket <= 20; ++ticket) {
         this->scheduler.adopt(this->request(ticket, "s"),
                               core::upstream_id("a"), this->now);
@@ -254,7 +257,7 @@
 
 TEST_F(placement_test, memory_is_not_overcommitted)
 {
-    this->scheduler.set_upstreams({make_known_upstream("a", "za")});
+    this->scheduler.set_upstreams({make_known_upstream("a", "za")}, this->now);
     auto granted = 0;
     for (auto ticket = 1U; ticket <= 40; ++ticket) {
         granted +=
@@ -272,7 +275,8 @@
 // Load pattern: a burst that leaves requests waiting past their due time.
 TEST_F(placement_test, late_requests_wait_for_requests_on_time)
 {
-    this->scheduler.set_upstreams({make_known_upstream("a", "za", 1)});
+    this->scheduler.set_upstreams({make_known_upstream("a", "za", 1)},
+                                  this->now);
     this->scheduler.submit(this->request(1, "s"), this->now);
     ASSERT_EQ(this->scheduler.next(this->now).size(), 1U);
     this->scheduler.submit(this->request(2, "s"), this->now);
@@ -292,7 +296,7 @@
 
 TEST_F(placement_test, rejects_requests_without_upstreams)
 {
-    this->scheduler.set_upstreams({});
+    this->scheduler.set_upstreams({}, this->now);
     this->scheduler.submit(this->request(1, "s"), this->now);
     const auto outcomes = this->scheduler.next(this->now);
     ASSERT_EQ(outcomes.size(), 1U);
@@ -346,7 +350,8 @@
 TEST_F(placement_test, an_adopted_request_takes_a_slot)
 {
     this->scheduler.set_upstreams(
-        {make_known_upstream("a", "za", 1), make_known_upstream("b", "zb", 1)});
+        {make_known_upstream("a", "za", 1), make_known_upstream("b", "zb", 1)},
+        this->now);
     this->scheduler.adopt(this->request(1, "s"), core::upstream_id("a"),
                           this->now);
     EXPECT_EQ(this->place(this->request(2, "s")), "b");
@@ -397,6 +402,52 @@
     }
 }
 
+// Load pattern: the owner of a service is stopped while an upstream is cold.
+// The next owner has no record of what was sent, and both together may exceed
+// what the upstream bears in a second.
+TEST(placement, two_owners_in_a_second_keep_the_bound_of_a_cold_upstream)
+{
+    constexpr auto bound = 41;
+    auto service = model_service();
+    service.cold_rate = 24;
+    auto limits = placement_limits();
+    limits.cold_factor = 1.5;
+    limits.cold_extra = 5;
+    auto now = core::time_point(std::chrono::hours(1));
+    auto cold = make_known_upstream("a", "za");
+    cold.changed_at = now;
+    cold.upstream.cold_left = std::chrono::hours(1);
+    const auto count_sent = [&](placement& owner, milliseconds time) {
+        auto sent = 0;
+        const auto end = now + time;
+        for (auto ticket = std::uint64_t(1); now < end; ++ticket) {
+            auto request = placement_request();
+            request.ticket = ticket;
+            request.due = now + milliseconds(500);
+            request.deadline = now + milliseconds(3000);
+            owner.submit(request, now);
+            for (const auto& outcome : owner.next(now)) {
+                sent += outcome.status == placement_status::granted ? 1 : 0;
+                owner.on_ended(outcome.ticket, attempt_end::completed, now);
+            }
+            now += milliseconds(5);
+        }
+        return sent;
+    };
+    auto first = placement(service, limits);
+    first.set_upstreams({cold}, now);
+    count_sent(first, milliseconds(1000));
+    EXPECT_EQ(count_sent(first, milliseconds(1000)), 24);
+    auto next = placement(service, limits);
+    next.set_upstreams({cold}, now);
+    const auto sent_before = 24;
+    const auto sent = count_sent(next, milliseconds(999));
+    EXPECT_GT(sent, 0);
+    EXPECT_LE(sent_before + sent, bound);
+    EXPECT_GE(count_sent(next, milliseconds(1500)), 24)
+        << "the whole rate is used afterwards";
+}
+
 RC_GTEST_PROP(placement, keeps_a_cold_upstream_below_its_rate,
               (std::vector<std::uint8_t> pauses))
 {
@@ -405,7 +456,7 @@
     auto cold = make_known_upstream("a", "za");
     cold.changed_at = now;
     cold.upstream.cold_left = std::chrono::hours(1);
-    scheduler.set_upstreams({cold});
+    scheduler.set_upstreams({cold}, now);
     auto sent = std::deque<core::time_point>();
     auto ticket = std::uint64_t(0);
     for (const auto pause : pauses) {
