--- a/src/services/gateway/store_follower.cpp
+++ b/src/services/gateway/store_follower.cpp
@@ -2,7 +2,6 @@
 
 #include "platform/adapter_errc.h"
 #include "services/gateway/follower_limits.h"
-#include "services/gateway/snapshot_codec.h"
 
 #include <algorithm>
 #include <set>
