Keep the newer of two revisions of a registration

Callers saw: nothing.

Cause: a list that was read before the last write of the entry set the node's own revision back, so that a removal from before that write counted as a loss, and the next removal of the entry named an old revision.

Change: the later of both revisions is kept.

--- a/src/services/gateway/node_registration.cpp
+++ b/src/services/gateway/node_registration.cpp
@@ -3,6 +3,7 @@
 #include "platform/adapter_errc.h"
 #include "services/gateway/follower_limits.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -147,7 +148,9 @@
     }
     if (found != entries.end() && this->is_own(found->second)) {
         this->retry_timer.stop();
-        this->set_own_revision(found->second.revision);
+        // These entries may be older than the last write.
+        this->set_own_revision(
+            std::max(this->own_revision, found->second.revision));
         return;
     }
     // Entries that were read before the last write do not show it.
