--- a/src/services/gateway/node_leave.cpp
+++ b/src/services/gateway/node_leave.cpp
@@ -65,7 +65,11 @@
 
 auto node::state::finish_leaving() -> void
 {
-    this->log.write(severity::notice, "stopped", {});
+    this->log.write(
+        severity::notice, "stopped",
+        {{"after_ms", ms_text(this->event_loop.now() - this->leave_started)},
+         {"requests", std::to_string(this->flows.size())},
+         {"connections", std::to_string(this->connections.size())}});
     this->listeners.clear();
     // Allows the last bytes written to reach the callers.
     constexpr auto linger = core::milliseconds(100);
