Take stage results only from answers with new handles

Cause: a late second copy of a stage answer was taken for the answer to the next call on its connection, as stage calls have no id that upstreams send back, and the true answer was taken for that to the call after.

Change: stage_queue remembers the handles of recent answers and takes only new ones. The connection of an answer that does not show whose it is is not used again.

--- a/src/libs/dispatch/stage_queue.cpp
+++ b/src/libs/dispatch/stage_queue.cpp
@@ -8,7 +8,8 @@
 
 namespace almondtiller::dispatch {
 
-stage_queue::stage_queue(serving::stage_pool spec) : pool(spec)
+stage_queue::stage_queue(serving::stage_pool spec)
+    : pool(spec), returned_handles(handle_retention)
 {}
 
 auto stage_queue::set_pool(const serving::stage_pool& spec) -> void
--- a/src/libs/http1/client_pool.cpp
+++ b/src/libs/http1/client_pool.cpp
@@ -128,10 +128,14 @@
     callbacks.on_head = std::move(hooks.on_head);
     callbacks.on_body = std::move(hooks.on_body);
     callbacks.on_done = [this, pool_alive = this->is_alive, call, key,
+                         is_own = std::move(hooks.is_own_answer),
                          done =
                              std::move(hooks.on_done)](std::error_code error) {
         const auto used = std::exchange(call->connection, nullptr);
         call->is_finished = true;
+        if (!error && used && is_own && !is_own()) {
+            used->cancel();
+        }
         if (*pool_alive && !error && used && used->is_reusable()) {
             this->idle[key].push_back({used, this->event_loop.now()});
         }
--- a/src/libs/http1/client_pool.h
+++ b/src/libs/http1/client_pool.h
@@ -44,6 +44,10 @@
     std::function<void()> on_sent;
     std::function<void(response_head)> on_head;
     std::function<void(std::string_view)> on_body;
+    /// Called when the answer is complete. If it returns false, the connection
+    /// is not used again: the answer may be that of an earlier call, and the
+    /// true one still to come. May be empty.
+    std::function<bool()> is_own_answer;
     /// \param sent False if no byte of the request can have reached the server.
     std::function<void(std::error_code error, bool sent)> on_done;
 };
--- a/src/services/gateway/stage_dispatcher.cpp
+++ b/src/services/gateway/stage_dispatcher.cpp
@@ -149,17 +149,19 @@
 auto stage_dispatcher::send_call(const dispatch::shard& shard_key,
                                  const dispatch::stage_call& call) -> void
 {
-    auto body = std::make_shared<std::string>();
-    auto verdict = std::make_shared<serving::upstream_verdict>();
+    auto answer = std::make_shared<call_answer>();
     const auto sent_at = this->event_loop.now();
     auto hooks = http1::pool_hooks();
-    hooks.on_head = [this, verdict, call,
+    hooks.on_head = [this, answer, call,
                      sent_at](const http1::response_head& head) {
-        *verdict = adapter::decode_verdict(head);
-        this->handle_verdict(call.upstream.id, *verdict, sent_at);
+        answer->verdict = adapter::decode_verdict(head);
+        this->handle_verdict(call.upstream.id, answer->verdict, sent_at);
     };
-    hooks.on_body = [body](std::string_view bytes) {
-        *body += bytes;
+    hooks.on_body = [answer](std::string_view bytes) {
+        answer->body += bytes;
+    };
+    hooks.is_own_answer = [this, shard_key, call, answer]() {
+        return this->read_results(shard_key, call, *answer);
     };
     auto options = http1::call_options();
     options.connect_limit = connect_timeout;
@@ -174,15 +176,15 @@
             const auto open = shard_state->calls.find(call.id);
             if (open != shard_state->calls.end()) {
                 open->second->cancel();
-                this->on_call_done(shard_key, call, {}, "",
+                this->on_call_done(shard_key, call, {},
                                    std::make_error_code(std::errc::timed_out));
             }
         });
     limit->start(stage_call_timeout);
-    hooks.on_done = [this, shard_key, call, body, verdict,
+    hooks.on_done = [this, shard_key, call, answer,
                      limit](std::error_code error, bool) {
         limit->stop();
-        this->on_call_done(shard_key, call, *verdict, *body, error);
+        this->on_call_done(shard_key, call, *answer, error);
     };
     this->owned_shards[shard_key]->calls[call.id] =
         this->pool.call({call.upstream.id.str(), call.upstream.address},
@@ -202,10 +204,31 @@
     this->report_verdict(upstream, verdict, sent_at);
 }
 
+auto stage_dispatcher::read_results(const dispatch::shard& shard_key,
+                                    const dispatch::stage_call& call,
+                                    call_answer& answer) -> bool
+{
+    constexpr auto ok_status = 200;
+    const auto found = this->owned_shards.find(shard_key);
+    if (found == this->owned_shards.end() ||
+        answer.verdict.status != ok_status) {
+        return false;
+    }
+    auto results =
+        adapter::decode_stage_results(answer.body, call.items.size());
+    if (!results ||
+        !found->second->queue.can_be_answer(call.id, results.value())) {
+        return false;
+    }
+    answer.results = std::move(results.value());
+    return std::any_of(
+        answer.results->begin(), answer.results->end(),
+        [](const auto& result) { return !result.handle.empty(); });
+}
+
 auto stage_dispatcher::on_call_done(const dispatch::shard& shard_key,
                                     const dispatch::stage_call& call,
-                                    const serving::upstream_verdict& verdict,
-                                    const std::string& body,
+                                    const call_answer& answer,
                                     std::error_code error) -> void
 {
     const auto found = this->owned_shards.find(shard_key);
@@ -215,27 +238,24 @@
     auto& shard_state = *found->second;
     shard_state.calls.erase(call.id);
     const auto now = this->event_loop.now();
-    constexpr auto ok_status = 200;
-    if (!error && verdict.status == ok_status) {
-        if (const auto results =
-                adapter::decode_stage_results(body, call.items.size())) {
-            this->apply(
-                shard_key, shard_state,
-                shard_state.queue.on_results(call.id, results.value(), now));
-            this->schedule_pump();
-            return;
-        }
+    if (!error && answer.results) {
+        this->apply(
+            shard_key, shard_state,
+            shard_state.queue.on_results(call.id, *answer.results, now));
+        this->schedule_pump();
+        return;
     }
     this->log.write(severity::failure, "stage_call_failed",
                     {{"service", shard_key.service.str()},
                      {"upstream", call.upstream.id.str()},
                      {"pieces", std::to_string(call.items.size())},
-                     {"status", std::to_string(verdict.status)},
+                     {"status", std::to_string(answer.verdict.status)},
                      {"error", error ? error.message() : "none"}});
     constexpr auto overload_status = 503;
-    this->apply(shard_key, shard_state,
-                shard_state.queue.on_call_failed(
-                    call.id, !error && verdict.status == overload_status, now));
+    this->apply(
+        shard_key, shard_state,
+        shard_state.queue.on_call_failed(
+            call.id, !error && answer.verdict.status == overload_status, now));
     this->schedule_pump();
 }
 
@@ -331,6 +351,13 @@
             this->handle_verdict(holder, adapter::decode_verdict(head),
                                  sent_at);
         };
+        auto body = std::make_shared<std::string>();
+        hooks.on_body = [body](std::string_view bytes) {
+            *body += bytes;
+        };
+        hooks.is_own_answer = [body]() {
+            return !adapter::has_stage_results(*body);
+        };
         hooks.on_done = [this, name](std::error_code error, bool) {
             if (error) {
                 // The upstream frees the results when their lifetime ends.
--- a/src/services/gateway/stage_dispatcher.h
+++ b/src/services/gateway/stage_dispatcher.h
@@ -73,10 +73,23 @@
     auto find(const dispatch::shard& shard_key) -> stage_shard*;
     auto send_call(const dispatch::shard& shard_key,
                    const dispatch::stage_call& call) -> void;
+    /// The answer to a stage call.
+    struct call_answer
+    {
+        serving::upstream_verdict verdict;
+        std::string body;
+        /// Empty unless they can be the results of the call.
+        std::optional<std::vector<serving::stage_result>> results;
+    };
+
+    /// Reads the results of a complete answer.
+    /// \return Whether they show that the answer is that to the call.
+    auto read_results(const dispatch::shard& shard_key,
+                      const dispatch::stage_call& call, call_answer& answer)
+        -> bool;
     auto on_call_done(const dispatch::shard& shard_key,
                       const dispatch::stage_call& call,
-                      const serving::upstream_verdict& verdict,
-                      const std::string& body, std::error_code error) -> void;
+                      const call_answer& answer, std::error_code error) -> void;
     auto handle_verdict(const core::upstream_id& upstream,
                         const serving::upstream_verdict& verdict,
                         core::time_point sent_at) -> void;
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -404,6 +404,10 @@
     }
     const auto text = json{{"items", answers}}.dump();
     this->after(call_time, [this, exchange, text]() {
+        if (this->mode == upstream_mode::answers_twice) {
+            exchange->send_late(200, {{"Content-Type", "application/json"}},
+                                text);
+        }
         this->send_answer(
             this->with_limit({{"Content-Type", "application/json"}}), text,
             exchange);
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -25,6 +25,7 @@
     endless,        ///< Sends an answer without end.
     pauses_streams, ///< Sends nothing for a while in the middle of a stream.
     answers_late,   ///< Sends answers other than streams after a while.
+    answers_twice,  ///< Sends each stage answer again before the next answer.
     aborts_between_events, ///< Aborts streams after a complete event.
     ends_within_event,     ///< Ends streams properly inside the last event.
     sends_no_event,        ///< Ends streams properly before the first event.
--- a/tests/fakes/gateway_world/raw_server.cpp
+++ b/tests/fakes/gateway_world/raw_server.cpp
@@ -64,6 +64,12 @@
         this->stream->write(std::move(bytes));
     }
 
+    /// Sends bytes when the next request has arrived.
+    auto write_late(std::string bytes) -> void
+    {
+        this->late = std::move(bytes);
+    }
+
     [[nodiscard]] auto pending_bytes() const -> std::size_t
     {
         return this->stream->pending_bytes();
@@ -107,6 +113,7 @@
         if (error) {
             this->close();
         } else if (request) {
+            this->write(std::exchange(this->late, {}));
             this->current =
                 std::make_shared<raw_exchange>(this->shared_from_this());
             this->on_request(std::move(*request), this->current);
@@ -125,6 +132,7 @@
     raw_server::handler on_request;
     std::function<void()> closed;
     http1::request_parser parser;
+    std::string late;
     std::shared_ptr<raw_exchange> current;
 };
 
@@ -182,6 +190,16 @@
         ->on_answered(this->framing == answer_framing::connection);
 }
 
+auto raw_exchange::send_late(int status, const http1::header_list& headers,
+                             std::string_view body) -> void
+{
+    if (this->connection) {
+        this->connection->write_late(
+            answer_head(status, headers) + "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + std::string(body));
+    }
+}
+
 auto raw_exchange::abort() -> void
 {
     if (const auto kept = this->connection) {
--- a/tests/fakes/gateway_world/raw_server.h
+++ b/tests/fakes/gateway_world/raw_server.h
@@ -40,6 +40,10 @@
     auto send(std::string_view piece) -> void;
     auto finish() -> void;
 
+    /// Makes the connection send an answer before that to its next request.
+    auto send_late(int status, const http1::header_list& headers,
+                   std::string_view body) -> void;
+
     /// Closes the connection within the answer, with a reset if the answer
     /// would look complete otherwise.
     auto abort() -> void;
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1364,6 +1364,32 @@
     this->expect_no_faults();
 }
 
+// An upstream sends a copy of a stage answer where the next one is due, and the
+// true answer after it. Guards against results of one request that are given
+// to another.
+TEST_F(whole_path_test, results_of_another_call_are_not_used)
+{
+    for (const auto* name : {"feed-a", "feed-b", "map-a", "map-b"}) {
+        this->world.upstreams[name]->set_mode(upstream_mode::answers_twice);
+    }
+    constexpr auto count = std::size_t(60);
+    auto records = std::vector<const call_record*>();
+    for (auto number = std::size_t(0); number < count; ++number) {
+        records.push_back(&this->caller.call(
+            this->nodes[number % this->nodes.size()]->settings.front,
+            "staged"));
+        this->world.run_for(core::milliseconds(4));
+    }
+    auto served = 0;
+    for (const auto* record : records) {
+        EXPECT_TRUE(this->caller.wait(*record));
+        served += record->status == 200 ? 1 : 0;
+    }
+    EXPECT_GT(served, 0);
+    EXPECT_EQ(this->world.journal.violations, std::vector<std::string>());
+    this->expect_no_faults();
+}
+
 // The caller got the first part of the event and a proper end.
 TEST_P(answer_end_test, a_stream_that_ends_within_an_event_is_broken_off)
 {
