Read the sockets before a late timer acts

Cause, by reading: the loop runs due timers before it reads the sockets. When a callback kept it busy, a timeout was reported for bytes that had arrived meanwhile.

--- a/src/libs/event/timer.h
+++ b/src/libs/event/timer.h
@@ -8,7 +8,10 @@
 
 class loop;
 
-/// Calls an action once or repeatedly. Destroying the timer cancels it.
+/// Calls an action once or repeatedly. Destroying the timer cancels it. An
+/// action that is due once and is late, because the loop was busy, is called
+/// after the sockets were read: a timeout must not be reported for bytes that
+/// have arrived.
 class timer
 {
 public:
