Review: let the cases have the descriptors that a crowd needs

Cause: case 10 opens 1,200 connections; where the usual limit of descriptors is 1,024, the crowd would be cut short and the case could pass. Change: the program of the cases takes 8,192 descriptors where it may, the nodes get the 4,100 of the deployment, and a crowd that is cut short counts as not run.

--- a/review/standin-2/hostile_headers.cpp
+++ b/review/standin-2/hostile_headers.cpp
@@ -256,6 +256,7 @@
         largest = std::max(largest, node.memory_kb("VmRSS"));
         sleep_for(milliseconds(10));
     }
+    const auto crowd_count = crowd.size();
     crowd.clear();
     sleep_for(milliseconds(4000));
     const auto after = send_ordinary();
@@ -264,7 +265,9 @@
                     " KB, ends of the process: " +
                     std::to_string(watch.ends - ends_before));
     around.finish();
-    if (before.status != 200) {
+    const auto is_crowd_short =
+        crowd_count < std::size_t(crowd_size) && watch.ends == 0;
+    if (before.status != 200 || is_crowd_short) {
         return could_not_run;
     }
     return watch.ends == 0 && after.status != 0 ? held : broken;
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -1,5 +1,8 @@
 #include "cases.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <map>
@@ -19,6 +22,11 @@
         std::cerr << "usage: review_cases CASE RECORD\n";
         return could_not_run;
     }
+    // Crowds of clients and engines share this process.
+    auto descriptors = rlimit();
+    getrlimit(RLIMIT_NOFILE, &descriptors);
+    descriptors.rlim_cur = std::min<rlim_t>(descriptors.rlim_max, 8192);
+    setrlimit(RLIMIT_NOFILE, &descriptors);
     const auto* trouble = std::getenv("TROUBLE");
     const auto result = found->second(argv[2], trouble == nullptr ||
                                                    std::string(trouble) != "0");
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -4,9 +4,11 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <csignal>
@@ -127,6 +129,11 @@
     if (child == 0) {
         // The process ends with this program.
         prctl(PR_SET_PDEATHSIG, SIGKILL);
+        constexpr auto max_descriptors = rlim_t(4100);
+        auto descriptors = rlimit();
+        getrlimit(RLIMIT_NOFILE, &descriptors);
+        descriptors.rlim_cur = std::min(descriptors.rlim_max, max_descriptors);
+        setrlimit(RLIMIT_NOFILE, &descriptors);
         const auto target =
             open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
         dup2(target, STDOUT_FILENO);
