--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -431,6 +431,8 @@
     auto got = outcome();
     if (!this->open || this->open->is_closed_by_peer()) {
         this->open = connection::open(this->node.front());
+    } else {
+        got.was_kept = true;
     }
     if (!this->open) {
         return got;
@@ -442,6 +444,7 @@
     }
     auto head = this->open->read_head();
     if (!head) {
+        got.is_closed = this->open->is_closed_by_peer();
         this->open.reset();
         return got;
     }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -150,6 +150,10 @@
     /// 0 if the connection ended without an answer.
     int status = 0;
     bool is_complete = false;
+    /// Whether the connection had served a request before.
+    bool was_kept = false;
+    /// Whether the node has closed the connection without an answer.
+    bool is_closed = false;
     message answer;
 };
 
