Review: let the crowd of case 10 stop within chunked bodies

Change: the unfinished bodies are chunked, the crowd comes over two seconds with 1,450 connections at most, and ordinary clients begin one after the other.

--- a/review/standin-2/hostile_headers.cpp
+++ b/review/standin-2/hostile_headers.cpp
@@ -28,7 +28,9 @@
 /// The platform starts a process that has ended again after this time.
 constexpr auto restart_delay = milliseconds(500);
 /// Connections of a crowd of clients to one node.
-constexpr auto crowd_size = 1200;
+constexpr auto crowd_size = 1450;
+/// Between two of them, so that the node still gets to its other work.
+constexpr auto crowd_pause = milliseconds(1);
 /// Excused by the rule.
 constexpr auto allowed_losses = 3;
 
@@ -163,6 +165,8 @@
         const auto& nodes = this->around.nodes;
         auto own =
             client(this->around, *nodes[std::size_t(index) % nodes.size()]);
+        // Spreads the clients over the time that a request and a pause take.
+        sleep_for(milliseconds(17 * index));
         while (!this->is_over) {
             const auto id = new_request_id();
             const auto got = own.send(
@@ -262,17 +266,17 @@
     auto& node = *around.nodes.front();
     auto ordinary = traffic(around);
     sleep_for(milliseconds(2000));
-    // The head is as large in both cases, and inside maxHeaderBytes. The body
-    // lacks its last byte.
+    // The head is as large in both cases, and inside maxHeaderBytes. The only
+    // chunk of the body lacks its last byte.
     auto head = std::string("POST /confirm/x HTTP/1.1\r\nHost: pule25.example"
-                            "\r\nContent-Length: 10\r\n");
+                            "\r\nTransfer-Encoding: chunked\r\n");
     constexpr auto head_bytes = std::size_t(16000);
     const auto field = trouble ? std::string("a:\r\n")
                                : "a: " + std::string(3900, 'b') + "\r\n";
     while (head.size() + field.size() < head_bytes) {
         head += field;
     }
-    head += "\r\n123456789";
+    head += "\r\na\r\n123456789";
     auto crowd = std::vector<std::unique_ptr<connection>>();
     auto largest = 0L;
     for (auto index = 0; index < crowd_size; ++index) {
@@ -282,6 +286,7 @@
         }
         crowd.push_back(std::move(one));
         largest = std::max(largest, node.memory_kb("VmRSS"));
+        sleep_for(crowd_pause);
     }
     around.out.line(std::to_string(crowd.size()) +
                     " requests were sent up to their last byte, each with " +
