Repeat a request at the same upstream on a new connection

Cause: after a 409 the stages run again and the request goes to the same upstream, often on the connection on which the 409 came. A late copy of the 409 is read there as the answer to the second attempt: all attempts have the same request id. The upstream runs the second attempt, and the node starts a third or refuses the request.

The new test failed before with "r1 (staged) ran twice".

Why this works: copies arrive on the connection of their original. An upstream that has answered an attempt of the request gets the next one on a new connection, where nothing else can arrive. That covers the search for another upstream of a resumed stream as well, which forgets excluded upstreams too. "sent" logs whether the upstream has answered before.

--- a/src/libs/http1/client_pool.cpp
+++ b/src/libs/http1/client_pool.cpp
@@ -89,7 +89,10 @@
     auto call = std::make_shared<pooled_call>();
     this->active_calls.push_back(call);
     this->start_timeout(call, options.longest, hooks);
-    if (auto kept = this->take_idle(target.key, options.longest_idle)) {
+    auto kept = options.needs_new_connection
+                    ? nullptr
+                    : this->take_idle(target.key, options.longest_idle);
+    if (kept) {
         call->connection = std::move(kept);
         this->send(call, target.key, std::move(request), options,
                    std::move(hooks));
--- a/src/libs/http1/client_pool.h
+++ b/src/libs/http1/client_pool.h
@@ -27,6 +27,10 @@
     /// Connections that were idle for longer are not reused: the server may
     /// close them while the request is being sent.
     core::milliseconds longest_idle{3000};
+    /// Whether the call must not use an idle connection: a copy of an earlier
+    /// answer may still arrive there, and only the caller can tell whether that
+    /// answer could pass for the one to this call.
+    bool needs_new_connection = false;
     bool has_no_body = false;
     /// The call fails if the response body is larger than this number of bytes;
     /// 0 means no limit, for bodies that are streamed.
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -60,12 +60,15 @@
          {"attempt", std::to_string(this->attempts)},
          {"inputs", std::to_string(send_parameters.inputs.size())},
          {"resumes", this->events.last_id().empty() ? "no" : "yes"},
+         {"answered_before",
+          this->answered_by.contains(granted.id) ? "yes" : "no"},
          {"left_ms", ms_text(send_parameters.time_left)},
          {"elapsed_ms", this->elapsed_ms()}});
     auto options = http1::call_options();
     options.connect_limit = connect_timeout;
     options.longest_idle = this->is_retryable() ? max_idle_if_retryable
                                                 : max_idle_if_not_retryable;
+    options.needs_new_connection = this->answered_by.contains(granted.id);
     options.has_no_body = this->request.method == "HEAD";
     if (this->route.kind == serving::route_kind::streaming) {
         // Events are forwarded as they arrive; see forward_events().
@@ -233,6 +236,7 @@
     }
     if (!error) {
         this->close_record();
+        this->answered_by.insert(this->last_upstream);
     }
     this->record.reset();
     if (error) {
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -301,6 +301,11 @@
     }
     const auto is_stream = request.headers.has("X-Almondtiller-Model");
     if (is_stream) {
+        if (this->mode == upstream_mode::rejects_twice) {
+            this->mode = upstream_mode::works;
+            this->reject_twice(id, exchange);
+            return;
+        }
         const auto status = this->check_inputs(request, id);
         if (status != 200) {
             exchange->respond(
@@ -354,6 +359,18 @@
     exchange->respond(503, this->with_limit(std::move(headers)), "");
 }
 
+auto fake_upstream::reject_twice(const std::string& request,
+                                 const std::shared_ptr<raw_exchange>& exchange)
+    -> void
+{
+    constexpr auto conflict = 409;
+    const auto headers =
+        http1::header_list({{"X-Almondtiller-Request-Id", request},
+                            {"X-Almondtiller-Not-Run", "1"}});
+    exchange->send_late(conflict, headers, "");
+    exchange->respond(conflict, headers, "");
+}
+
 auto fake_upstream::send_endless(const std::shared_ptr<raw_exchange>& exchange)
     -> void
 {
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -26,6 +26,9 @@
     pauses_streams, ///< Sends nothing for a while in the middle of a stream.
     answers_late,   ///< Sends answers other than streams after a while.
     answers_twice,  ///< Sends each stage answer again before the next answer.
+    /// Rejects its first request for a lost input, sends that answer again
+    /// before the next one, and works from then on.
+    rejects_twice,
     aborts_between_events, ///< Aborts streams after a complete event.
     ends_within_event,     ///< Ends streams properly inside the last event.
     sends_no_event,        ///< Ends streams properly before the first event.
@@ -159,6 +162,8 @@
     /// Sends about 60 MB a second until the caller closes the connection.
     auto send_endless(const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto reject(const std::shared_ptr<raw_exchange>& exchange) -> void;
+    auto reject_twice(const std::string& request,
+                      const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto run_stage(const http1::request_message& request,
                    const std::shared_ptr<raw_exchange>& exchange) -> void;
     auto free_results(const http1::request_message& request,
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1469,6 +1469,26 @@
     this->expect_no_faults();
 }
 
+// An upstream rejects a request for a lost input, gets it again, and sends a
+// copy of the rejection before the true answer. Guards against a request that
+// runs twice because the copy is taken for the answer to the second attempt.
+TEST_F(whole_path_test, a_second_copy_of_a_rejection_ends_no_later_attempt)
+{
+    for (const auto* name : {"model1-b", "model2-a", "model2-b"}) {
+        this->world.crash_upstream(name);
+    }
+    ASSERT_TRUE(this->world.run_until([this]() {
+        return this->metric("almondtiller_gateway_usable_upstreams{"
+                            "service=\"model\"}") == double(this->nodes.size());
+    }));
+    this->world.upstreams["model1-a"]->set_mode(upstream_mode::rejects_twice);
+    const auto& record = this->send_request("staged");
+    EXPECT_EQ(record.status, 200);
+    EXPECT_TRUE(record.is_complete);
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+    this->expect_no_faults();
+}
+
 // The caller got the first part of the event and a proper end.
 TEST_P(answer_end_test, a_stream_that_ends_within_an_event_is_broken_off)
 {
