Read the entries of a store's answer one by one

Cause: an answer of the store was parsed as one JSON document. Half of a surrogate pair in one entry of another writer made all of it unreadable; so did a number out of range or a control character.

Evidence: the log has "store_lost kind=upstreams reason=watch_unreadable status=200" and, after the restart, "list_unreadable"; the other kinds were read.

Why this works: entries are found by brackets and quotation marks alone, which hold whatever a value contains, and are parsed one by one if the answer as a whole can't be read. Content that can't be read names no upstream; its name and revision stay known. Non-ASCII text of the other entries is no longer replaced.

--- a/tests/unit/adapter/adapter_test.cpp
+++ b/tests/unit/adapter/adapter_test.cpp
@@ -144,6 +144,87 @@
     EXPECT_TRUE(decode_upstream(page.objects.front()));
 }
 
+/// Values that are no valid JSON: half of a surrogate pair, a number that no
+/// double holds, bytes that are not UTF-8, and a control character.
+const auto unreadable_values = std::vector<std::string>{
+    R"("cant-\udcff")", "1e400", "\"\xff\xfe\"", "\"a\nb\""};
+
+// Guards against one entry of another writer that hides all upstreams.
+TEST(entries, an_unreadable_value_hides_no_other_entry)
+{
+    for (const auto& value : unreadable_values) {
+        const auto odd = upstream_text("i-1", with(good_body, R"("z")", value));
+        const auto good =
+            upstream_text("i-2", with(good_body, R"("z")", "\"zé\""));
+        const auto page = decode_page(R"({"items":[)" + odd + "," + good +
+                                      R"(],"morePages":true,"asOf":7})");
+        ASSERT_TRUE(page) << value;
+        ASSERT_EQ(page.value().objects.size(), 2U) << value;
+        EXPECT_FALSE(decode_upstream(page.value().objects[0])) << value;
+        const auto upstream = decode_upstream(page.value().objects[1]);
+        ASSERT_TRUE(upstream) << value;
+        EXPECT_EQ(upstream.value().upstream.zone.str(), "zé") << value;
+        EXPECT_EQ(page.value().next_after, "i-2");
+        EXPECT_EQ(page.value().revision.number, 7);
+    }
+}
+
+// The same for a watch, in which the next change may be the one that matters.
+TEST(entries, an_unreadable_value_hides_no_other_change)
+{
+    for (const auto& value : unreadable_values) {
+        const auto odd = upstream_text("i-1", with(good_body, R"("z")", value));
+        const auto changes =
+            decode_changes(R"({"asOf":9,"events":[{"removed":false,"object":)" +
+                           odd + R"(},{"removed":true,"object":)" +
+                           upstream_text("i-2", good_body) + "}]}");
+        ASSERT_TRUE(changes) << value;
+        ASSERT_EQ(changes.value().changes.size(), 2U) << value;
+        EXPECT_EQ(changes.value().changes[0].object.name, "i-1");
+        EXPECT_FALSE(decode_upstream(changes.value().changes[0].object));
+        EXPECT_TRUE(changes.value().changes[1].is_removed);
+        EXPECT_EQ(changes.value().revision.number, 9);
+    }
+}
+
+// A node can replace its own entry only if it can read the revision.
+TEST(entries, an_unreadable_value_hides_neither_name_nor_revision)
+{
+    for (const auto& value : unreadable_values) {
+        const auto object = decode_object(
+            R"({"metadata":{"note":)" + value +
+                R"(,"name":"n1","revision":3},"spec":{"zone":)" + value + "}}",
+            2);
+        ASSERT_TRUE(object) << value;
+        EXPECT_EQ(object.value().name, "n1");
+        EXPECT_EQ(object.value().revision, (serving::store_revision{2, 3}));
+        EXPECT_FALSE(decode_node(object.value()));
+    }
+}
+
+// One call carries pieces of several requests.
+TEST(stage_calls, an_unreadable_result_hides_no_other_result)
+{
+    for (const auto& value : unreadable_values) {
+        const auto results = decode_stage_results(
+            R"({"items":[{"reason":)" + value + R"(},{"handle":"h"}]})", 2);
+        ASSERT_TRUE(results) << value;
+        EXPECT_EQ(results.value()[0].failure, serving::stage_failure::failed);
+        EXPECT_EQ(results.value()[1].handle, "h");
+    }
+}
+
+TEST(entries, a_list_without_its_end_is_unreadable)
+{
+    const auto odd = with(good_body, R"("z")", unreadable_values.front());
+    const auto whole = R"({"items":[)" + upstream_text("i-1", odd) +
+                       R"(],"morePages":false,"asOf":7})";
+    ASSERT_TRUE(decode_page(whole));
+    for (auto size = std::size_t(0); size < whole.size(); ++size) {
+        EXPECT_FALSE(decode_page(whole.substr(0, size))) << size;
+    }
+}
+
 // Guards against a process that ends on one entry of another writer: the copy
 // of a value that is nested so deeply exhausts the stack.
 TEST(entries, drop_values_that_are_nested_too_deeply)
