Bound the stage work that one request can make

What callers saw: one request that stated two million pieces took a node above its memory.

Cause: the count of pieces in a header was used as a size. A node made an item for each piece, the message to the owner and its queue copied them, and the memory budget did not count them. The owner asked only whether the first call could be made in time.

Why this works: the bytes of the work, with the list of inputs of each piece, follow from the counts and are estimated before anything is made. More than 4 MiB is refused at once; less counts toward the memory budget until the stages are done. The owner rejects work whose own pieces can't be done before its deadline, which bounds what it keeps for all nodes. end_if_overloaded() moves to the other ends of a request.

--- a/src/libs/dispatch/stage_queue.cpp
+++ b/src/libs/dispatch/stage_queue.cpp
@@ -191,9 +191,21 @@
 auto stage_queue::can_accept(const work_state& state, core::duration wait,
                              core::time_point now) const -> bool
 {
-    const auto pieces = std::min<std::size_t>(state.work.items.size(),
-                                              std::size_t(this->pool.batch));
-    return now + wait + this->nominal_call_time(pieces) <= state.work.deadline;
+    return now + wait + this->run_time(state.work.items.size()) <=
+           state.work.deadline;
+}
+
+auto stage_queue::run_time(std::size_t pieces) const -> core::duration
+{
+    const auto batch = std::size_t(this->pool.batch);
+    if (pieces <= batch) {
+        return this->nominal_call_time(pieces);
+    }
+    const auto calls_time =
+        as_duration((this->pool.call_time * (double(pieces) / double(batch)) +
+                     this->pool.item_time * double(pieces)) /
+                    this->capacity());
+    return std::max(this->nominal_call_time(batch), calls_time);
 }
 
 auto stage_queue::submit(stage_work work, core::time_point now)
--- a/src/libs/dispatch/stage_queue.h
+++ b/src/libs/dispatch/stage_queue.h
@@ -307,6 +307,8 @@
                                          std::size_t ahead,
                                          core::time_point now) const
         -> core::duration;
+    /// \return The least time in which the pieces of one work can be done.
+    [[nodiscard]] auto run_time(std::size_t pieces) const -> core::duration;
     [[nodiscard]] auto can_accept(const work_state& state, core::duration wait,
                                   core::time_point now) const -> bool;
     auto used_room(upstream_state& upstream, core::time_point now)
--- a/src/services/gateway/flow_limits.h
+++ b/src/services/gateway/flow_limits.h
@@ -42,6 +42,10 @@
 inline constexpr auto max_answer_bytes = std::size_t(1) << 20U;
 inline constexpr auto max_event_bytes = std::size_t(1) << 18U;
 
+/// Largest work of all stages of a request, in bytes. Its size follows from
+/// the counts of pieces that the caller states.
+inline constexpr auto max_stage_work_bytes = std::size_t(4) << 20U;
+
 /// Retry delay of requests that are rejected because they crash upstreams.
 inline constexpr auto quarantine_retry_after = core::milliseconds(5000);
 
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -162,17 +162,6 @@
     this->end_if_overloaded();
 }
 
-auto request_flow::end_if_overloaded() -> void
-{
-    const auto held_bytes = this->held ? this->held->body.size() +
-                                             this->held->incomplete_event.size()
-                                       : std::size_t(0);
-    if (!this->caller->hold(this->body.size() + held_bytes +
-                            this->events.incomplete_event().size())) {
-        this->end_incomplete("memory_limit", bad_gateway);
-    }
-}
-
 auto request_flow::forward_events(std::string_view bytes) -> void
 {
     const auto known_events = this->events.event_count();
--- a/src/services/gateway/request_end.cpp
+++ b/src/services/gateway/request_end.cpp
@@ -23,6 +23,20 @@
     }
 }
 
+auto request_flow::end_if_overloaded() -> void
+{
+    const auto held_bytes = this->held ? this->held->body.size() +
+                                             this->held->incomplete_event.size()
+                                       : std::size_t(0);
+    const auto stage_bytes = this->stages && !this->stages->is_complete()
+                                 ? std::size_t(this->stages->work_bytes())
+                                 : std::size_t(0);
+    if (!this->caller->hold(this->body.size() + held_bytes + stage_bytes +
+                            this->events.incomplete_event().size())) {
+        this->end_incomplete("memory_limit", bad_gateway);
+    }
+}
+
 auto request_flow::give_up(std::string_view reason,
                            core::milliseconds retry_after) -> void
 {
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -175,6 +175,10 @@
         this->deadline - typical_time_to_first_event, this->priority,
         this->zone,
         [this](const auto& handle) { return this->zone_of_result(handle); });
+    if (this->stages->work_bytes() > double(max_stage_work_bytes)) {
+        this->reject("too_many_pieces", min_retry_delay);
+        return;
+    }
     this->run_stages();
 }
 
@@ -201,6 +205,10 @@
 
 auto request_flow::run_stages() -> void
 {
+    this->end_if_overloaded();
+    if (this->is_finished) {
+        return;
+    }
     if (this->stages->is_complete()) {
         this->place(this->attempts > 0);
         return;
--- a/src/services/gateway/stage_plan.cpp
+++ b/src/services/gateway/stage_plan.cpp
@@ -17,6 +17,11 @@
 /// stages is at most this multiple of its own. The factor is above 1 because
 /// the stage may wait longer than the others.
 constexpr auto early_start_factor = 1.5;
+/// Memory of a handle, which consists of an address and a number.
+constexpr auto handle_bytes = sizeof(std::string) + 48;
+/// The work is kept until it is done, in the message to its owner or the
+/// owner's queue, and in calls.
+constexpr auto work_copies = 3.0;
 
 } // namespace
 
@@ -140,6 +145,26 @@
     return work;
 }
 
+auto stage_plan::work_bytes() const -> double
+{
+    const auto item_bytes =
+        double(sizeof(serving::stage_item) + this->request.str().size() +
+               this->key.size());
+    auto bytes = 0.0;
+    for (const auto& stage : this->stages) {
+        // Each piece has its own list of all inputs.
+        auto inputs = 0.0;
+        for (const auto predecessor : stage.spec.after) {
+            inputs += predecessor < this->stages.size()
+                          ? double(this->stages[predecessor].pieces)
+                          : 0.0;
+        }
+        bytes += double(stage.pieces) *
+                 (item_bytes + (inputs + 1.0) * double(handle_bytes));
+    }
+    return bytes * work_copies;
+}
+
 auto stage_plan::zone_for(const entry& stage) const -> core::zone_name
 {
     auto held = std::map<core::zone_name, std::uint64_t>();
--- a/src/services/gateway/stage_plan.h
+++ b/src/services/gateway/stage_plan.h
@@ -57,6 +57,11 @@
 
     [[nodiscard]] auto is_complete() const -> bool;
 
+    /// \return Estimated bytes of the work of all stages at a node. The count
+    /// of
+    ///         pieces is the caller's.
+    [[nodiscard]] auto work_bytes() const -> double;
+
     /// \return Handles of the results that are inputs of the request itself.
     [[nodiscard]] auto inputs() const -> std::vector<std::string>;
 
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -33,7 +33,8 @@
 
 auto request_text(const call_record& record, const std::string& key,
                   const std::string& prompt, const std::string& body,
-                  std::uint64_t shared_tokens) -> std::string
+                  const std::string& pieces, std::uint64_t shared_tokens)
+    -> std::string
 {
     auto request = http1::request_message();
     request.method = record.path == "read" ? "GET" : "POST";
@@ -49,7 +50,7 @@
         request.headers.add("X-Almondtiller-Prompt-Prefix", prompt);
     }
     if (record.path.starts_with("staged")) {
-        request.headers.add("X-Almondtiller-Pieces", "2,3");
+        request.headers.add("X-Almondtiller-Pieces", pieces);
         request.headers.add("X-Almondtiller-Piece-Key", "piece");
     }
     if (request.method == "POST") {
@@ -81,6 +82,11 @@
     this->body = std::move(text);
 }
 
+auto world_caller::set_pieces(std::string counts) -> void
+{
+    this->pieces = std::move(counts);
+}
+
 auto world_caller::call(const core::endpoint& front, const std::string& path,
                         const std::string& key) -> call_record&
 {
@@ -117,10 +123,10 @@
     };
     auto options = http1::call_options();
     options.longest_idle = core::milliseconds(2000);
-    this->pool.call(
-        {core::to_text(front), front},
-        request_text(record, key, parts, this->body, this->shared_tokens),
-        options, std::move(hooks));
+    this->pool.call({core::to_text(front), front},
+                    request_text(record, key, parts, this->body, this->pieces,
+                                 this->shared_tokens),
+                    options, std::move(hooks));
     return record;
 }
 
--- a/tests/fakes/gateway_world/world_caller.h
+++ b/tests/fakes/gateway_world/world_caller.h
@@ -55,6 +55,9 @@
     /// request.
     auto set_body(std::string text) -> void;
 
+    /// Sets how many pieces each stage of a request has.
+    auto set_pieces(std::string counts) -> void;
+
     /// Waits until a call has ended.
     /// \return False if it has not ended within the callers' timeout.
     auto wait(const call_record& record) -> bool;
@@ -78,6 +81,7 @@
     std::uint64_t shared_tokens = 60;
     std::string prompt;
     std::string body;
+    std::string pieces = "2,3";
 };
 
 } // namespace almondtiller::gateway_world
--- a/tests/unit/dispatch/stage_queue_test.cpp
+++ b/tests/unit/dispatch/stage_queue_test.cpp
@@ -351,6 +351,19 @@
         this->queue.submit(this->work(99, 8, milliseconds(400)), this->now));
 }
 
+// Load pattern: one request states far more pieces than all upstreams can do
+// until its deadline. Guards against work that fills the queue and their time.
+TEST_F(stage_queue_test, rejects_at_once_work_of_too_many_pieces)
+{
+    const auto rejection =
+        this->queue.submit(this->work(1, 400, milliseconds(400)), this->now);
+    ASSERT_TRUE(rejection) << "4.4 s hold 47 calls of 8 pieces";
+    EXPECT_EQ(rejection->status, stage_status::rejected);
+    EXPECT_EQ(this->queue.waiting_pieces(), 0U);
+    EXPECT_FALSE(
+        this->queue.submit(this->work(2, 360, milliseconds(400)), this->now));
+}
+
 // Load pattern: upstreams are lost while much work waits. Work that cannot
 // begin before its deadline is rejected at once, not when its deadline passes.
 TEST_F(stage_queue_test, rejects_waiting_work_once_it_cannot_begin_in_time)
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1489,6 +1489,21 @@
     this->expect_no_faults();
 }
 
+// A caller states many pieces, or many that each take many inputs. Guards
+// against one request whose stage work exhausts the memory of its node and of
+// the owners of its stages.
+TEST_F(whole_path_test, refuses_at_once_requests_of_too_many_pieces)
+{
+    for (const auto* pieces : {"200000,3", "300,300", "0,4294967295"}) {
+        this->caller.set_pieces(pieces);
+        EXPECT_EQ(this->send_request("staged").status, 503) << pieces;
+        EXPECT_EQ(this->world.journal.stage_calls, 0U) << pieces;
+    }
+    this->caller.set_pieces("2,3");
+    EXPECT_EQ(this->send_request("staged").status, 200);
+    this->expect_no_faults();
+}
+
 // The caller got the first part of the event and a proper end.
 TEST_P(answer_end_test, a_stream_that_ends_within_an_event_is_broken_off)
 {
