--- a/tests/unit/adapter/adapter_test.cpp
+++ b/tests/unit/adapter/adapter_test.cpp
@@ -214,6 +214,23 @@
     }
 }
 
+// Another writer chooses the names of its entries. Guards against a list that
+// ends at a name which makes the call for its next page invalid.
+TEST(store_calls, escape_names)
+{
+    const auto store = core::endpoint{"127.0.0.1", 1};
+    const auto list = encode_list(store, object_kind::upstreams, "a b&c/\xff?",
+                                  freshness::newest);
+    EXPECT_TRUE(list.starts_with(
+        "GET /almondtiller/objects/servers?after=a%20b%26c%2F%FF%3F HTTP/1.1"))
+        << list;
+    const auto removal =
+        encode_remove(store, object_kind::nodes, "n-1_x.y~z", {0, 4});
+    EXPECT_TRUE(removal.starts_with(
+        "DELETE /almondtiller/objects/almondtiller-nodes/n-1_x.y~z?revision=4"))
+        << removal;
+}
+
 TEST(entries, a_list_without_its_end_is_unreadable)
 {
     const auto odd = with(good_body, R"("z")", unreadable_values.front());
