Report a reset that a write has found, and early ends as incomplete

What callers could see: a part of an answer without a length as a complete answer.

Cause: the end of a connection was judged by the last read. Linux reports an error of a socket to one call: after a write has got ECONNRESET, and after the peer has closed its side, the next read finds a clean end. And an end within the request completed an answer without a length.

Why this works: tcp_stream remembers why a write has failed and asks the socket for its error before it calls an end clean. An answer that ends with its connection needs a request that the peer's system has acknowledged as a whole. Bytes that came before a failed write are still delivered, so that a whole answer with a length is not lost.

--- a/src/libs/event/stream_state.h
+++ b/src/libs/event/stream_state.h
@@ -20,6 +20,8 @@
     std::size_t pending = 0;
     /// Bytes passed to write() so far.
     std::uint64_t written = 0;
+    /// Why a write has failed; none if all have succeeded.
+    std::error_code write_error;
     bool is_closing = false;
     bool closes_when_sent = false;
     bool is_ended = false;
--- a/src/libs/event/tcp_stream.cpp
+++ b/src/libs/event/tcp_stream.cpp
@@ -3,8 +3,10 @@
 #include "event/timer.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -58,6 +60,25 @@
     done(std::make_shared<tcp_stream>(pending->target), {});
 }
 
+/// \param read_error What the last read has reported; none for the end of the
+///        peer's bytes.
+/// \return The error that has ended a connection; none after a clean end. The
+///         kernel reports an error to one call only, and to no read after the
+///         peer has closed its side.
+auto error_at_end(const tcp_stream::state& state, int descriptor,
+                  std::error_code read_error) -> std::error_code
+{
+    if (state.write_error || read_error) {
+        return state.write_error ? state.write_error : read_error;
+    }
+    auto error = 0;
+    auto size = socklen_t(sizeof(error));
+    if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+        return {};
+    }
+    return {error, std::generic_category()};
+}
+
 /// Reads the remaining bytes and determines how the connection ended. libuv
 /// reports an end of file when a hang-up follows a partial read, even if the
 /// peer has reset the connection or more bytes can be read.
@@ -73,9 +94,10 @@
         const auto size = recv(descriptor, read_buffer.data(),
                                read_buffer.size(), MSG_DONTWAIT);
         if (size <= 0) {
-            state->end(size == 0
-                           ? std::error_code()
-                           : std::error_code(errno, std::generic_category()));
+            const auto error =
+                size == 0 ? std::error_code()
+                          : std::error_code(errno, std::generic_category());
+            state->end(error_at_end(*state, descriptor, error));
             return;
         }
         const auto hook = state->on_bytes;
@@ -83,6 +105,17 @@
     }
 }
 
+/// Ends a connection to which no more can be written, after the bytes that the
+/// peer has sent before.
+auto end_after_write_error(tcp_stream::state* state) -> void
+{
+    if (state->is_reading && !state->is_ended && !state->is_closing) {
+        read_until_end(state);
+    } else {
+        state->end(state->write_error);
+    }
+}
+
 auto on_read(uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) -> void
 {
     auto* state = static_cast<tcp_stream::state*>(stream->data);
@@ -279,12 +312,12 @@
         auto all_bytes = uv_buf_init(bytes.data(), unsigned(bytes.size()));
         const auto status = uv_try_write(this->data->stream(), &all_bytes, 1);
         if (status < 0 && status != UV_EAGAIN) {
-            this->data->event_loop->post(
-                [kept = this->shared_from_this(), status]() {
-                    if (kept->data != nullptr) {
-                        kept->data->end(to_error_code(status));
-                    }
-                });
+            this->data->write_error = to_error_code(status);
+            this->data->event_loop->post([kept = this->shared_from_this()]() {
+                if (kept->data != nullptr) {
+                    end_after_write_error(kept->data);
+                }
+            });
             return;
         }
         sent = status > 0 ? std::size_t(status) : 0;
@@ -309,7 +342,8 @@
                      return;
                  }
                  if (status < 0) {
-                     target->end(to_error_code(status));
+                     target->write_error = to_error_code(status);
+                     end_after_write_error(target);
                      return;
                  }
                  if (target->pending == 0 && target->closes_when_sent) {
@@ -325,6 +359,21 @@
     return this->is_open() ? this->data->pending : 0;
 }
 
+auto tcp_stream::unacknowledged_bytes() const -> std::size_t
+{
+    auto descriptor = uv_os_fd_t();
+    if (!this->is_open() ||
+        uv_fileno(reinterpret_cast<uv_handle_t*>(&this->data->handle),
+                  &descriptor) != 0) {
+        return 0;
+    }
+    auto in_kernel = 0;
+    if (ioctl(descriptor, SIOCOUTQ, &in_kernel) != 0) {
+        in_kernel = 0;
+    }
+    return this->data->pending + std::size_t(in_kernel);
+}
+
 auto tcp_stream::on_drained(std::function<void()> action) -> void
 {
     if (this->is_open()) {
--- a/src/libs/event/tcp_stream.h
+++ b/src/libs/event/tcp_stream.h
@@ -60,6 +60,10 @@
     /// \return The number of queued bytes not yet passed to the kernel.
     [[nodiscard]] auto pending_bytes() const -> std::size_t;
 
+    /// \return The bytes passed to write() that the peer's system has not
+    ///         acknowledged.
+    [[nodiscard]] auto unacknowledged_bytes() const -> std::size_t;
+
     /// Calls \a action once, when the write queue has been sent.
     auto on_drained(std::function<void()> action) -> void;
 
--- a/src/libs/http1/client_connection.cpp
+++ b/src/libs/http1/client_connection.cpp
@@ -124,6 +124,11 @@
     if (!error) {
         error = this->parser->feed_end();
     }
+    if (!error && this->stream->unacknowledged_bytes() > 0) {
+        // A server that is lost while it gets the request ends a response
+        // without a length in the same way as one that has sent all of it.
+        error = http1_errc::truncated_message;
+    }
     this->finish(error);
 }
 
--- a/tests/unit/event/tcp_stream_test.cpp
+++ b/tests/unit/event/tcp_stream_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <optional>
 
 namespace almondtiller::event {
@@ -123,6 +124,67 @@
     EXPECT_TRUE(*this->end);
 }
 
+// The kernel reports a reset to one call only. Guards against an end that looks
+// clean because a write of the same turn of the loop has got the error.
+TEST_F(tcp_stream_test, tells_a_reset_that_a_write_has_found)
+{
+    auto streams = std::array<std::shared_ptr<tcp_stream>, 2>();
+    auto ends = std::array<std::optional<std::error_code>, 2>();
+    auto peers = std::array<int, 2>();
+    for (auto index = std::size_t(0); index < streams.size(); ++index) {
+        this->connect_error.reset();
+        this->connect();
+        streams[index] = this->stream;
+        peers[index] = this->listener.accept();
+    }
+    // Whichever is read first writes to the other one.
+    for (auto index = std::size_t(0); index < streams.size(); ++index) {
+        streams[index]->start(
+            [this, &streams, index](std::string_view bytes) {
+                this->received += bytes;
+                streams[1 - index]->write("more");
+            },
+            [&ends, index](std::error_code error) { ends[index] = error; });
+    }
+    for (const auto peer : peers) {
+        ASSERT_EQ(send(peer, "part", 4, 0), 4);
+        reset(peer);
+    }
+    this->run_until([&ends]() { return ends[0] && ends[1]; });
+    EXPECT_EQ(this->received, "partpart");
+    EXPECT_TRUE(*ends[0]);
+    EXPECT_TRUE(*ends[1]);
+}
+
+// The same for a peer that has closed its side before it resets.
+TEST_F(tcp_stream_test, tells_a_reset_that_follows_a_clean_end)
+{
+    this->connect();
+    const auto peer = this->listener.accept();
+    ASSERT_EQ(send(peer, "part", 4, 0), 4);
+    shutdown(peer, SHUT_WR);
+    reset(peer);
+    this->start();
+    this->run_until([this]() { return this->end.has_value(); });
+    EXPECT_EQ(this->received, "part");
+    EXPECT_TRUE(*this->end);
+}
+
+// Guards against a complete answer that is lost because the rest of the request
+// can't be sent.
+TEST_F(tcp_stream_test, delivers_the_bytes_before_a_reset_that_a_write_finds)
+{
+    this->connect();
+    const auto peer = this->listener.accept();
+    this->start();
+    ASSERT_EQ(send(peer, "whole", 5, 0), 5);
+    reset(peer);
+    this->stream->write("more");
+    this->run_until([this]() { return this->end.has_value(); });
+    EXPECT_EQ(this->received, "whole");
+    EXPECT_TRUE(*this->end);
+}
+
 TEST_F(tcp_stream_test, delivers_more_bytes_than_one_read_before_the_end)
 {
     this->connect();
--- a/tests/unit/http1/connection_test.cpp
+++ b/tests/unit/http1/connection_test.cpp
@@ -1,6 +1,10 @@
 #include "event/event.h"
 #include "http1/http1.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 
 #include <optional>
@@ -357,5 +361,48 @@
     EXPECT_EQ(this->pool.opened(), 2U);
 }
 
+// A server answers early, without a length, and closes its side while it still
+// gets the request. Guards against a part of an answer that looks whole: a
+// server that was lost closes its connections in the same way.
+TEST_F(connection_test, an_answer_that_ends_within_the_request_is_incomplete)
+{
+    const auto server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto address = sockaddr_in();
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    ASSERT_EQ(::bind(server, generic, sizeof(address)), 0);
+    ASSERT_EQ(::listen(server, 1), 0);
+    auto size = socklen_t(sizeof(address));
+    getsockname(server, generic, &size);
+    auto is_sent = false;
+    auto hooks = pool_hooks();
+    hooks.on_sent = [&is_sent]() {
+        is_sent = true;
+    };
+    hooks.on_body = [this](auto bytes) {
+        this->body += bytes;
+    };
+    hooks.on_done = [this](auto error, bool) {
+        this->outcome = error;
+    };
+    // The kernel of the sender takes all of it, that of the server a part.
+    constexpr auto request_bytes = std::size_t(2) << 20U;
+    this->active = this->pool.call(
+        {"raw", {"127.0.0.1", ntohs(address.sin_port)}},
+        "POST / HTTP/1.1\r\nHost: a\r\n\r\n" + std::string(request_bytes, 'x'),
+        {}, std::move(hooks));
+    this->run_until([&is_sent]() { return is_sent; });
+    const auto peer = ::accept(server, nullptr, nullptr);
+    const auto part = std::string_view("HTTP/1.1 200 OK\r\n\r\npart");
+    ASSERT_EQ(send(peer, part.data(), part.size(), 0), ssize_t(part.size()));
+    shutdown(peer, SHUT_WR);
+    this->run_until([this]() { return this->outcome.has_value(); });
+    EXPECT_EQ(this->body, "part");
+    EXPECT_EQ(*this->outcome, http1_errc::truncated_message);
+    ::close(peer);
+    ::close(server);
+}
+
 } // namespace
 } // namespace almondtiller::http1
