Reject answers whose status is none

What callers saw: an upstream that answered with status 000 kept a request until its deadline (504), even where another upstream could have served it; statuses from 600 on were passed on.

Cause: response_parser took each status below 200 as that of an interim response and waited for the next head. The library checks only that a status has three digits.

Why this works: a status outside 100 to 599, and 101, which no request asks for, make the response malformed at its first line. The attempt has failed at once and is repeated where the route allows it.

--- a/src/libs/http1/parser.cpp
+++ b/src/libs/http1/parser.cpp
@@ -54,6 +54,17 @@
     return http1_errc::malformed_message;
 }
 
+/// \return Whether a response may have the status (RFC 9110, section 15). No
+///         request asks to switch protocols.
+auto is_valid_status(int status) -> bool
+{
+    constexpr auto first_status = 100;
+    constexpr auto switching_protocols = 101;
+    constexpr auto last_status = 599;
+    return status >= first_status && status <= last_status &&
+           status != switching_protocols;
+}
+
 /// Parser for requests or responses that passes the body to a hook.
 template <bool is_request>
 class hooked_parser : public beast_http::basic_parser<is_request>
@@ -74,10 +85,13 @@
         this->method = text(method_text);
         this->target = text(target_text);
     }
-    auto on_response_impl(int code, beast_text, int, beast_error&)
+    auto on_response_impl(int code, beast_text, int, beast_error& error)
         -> void override
     {
         this->status = code;
+        if (!is_valid_status(code)) {
+            error = beast_http::error::bad_status;
+        }
     }
     auto on_field_impl(beast_http::field, beast_text name, beast_text value,
                        beast_error&) -> void override
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -319,6 +319,10 @@
     if (this->mode == upstream_mode::hangs) {
         return;
     }
+    if (this->mode == upstream_mode::answers_without_status) {
+        exchange->respond(0, this->answer_head(id), "");
+        return;
+    }
     if (this->failing_every > 0 && ++this->served % this->failing_every == 0) {
         exchange->respond(500, this->answer_head(id), "");
         return;
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -29,10 +29,11 @@
     /// Rejects its first request for a lost input, sends that answer again
     /// before the next one, and works from then on.
     rejects_twice,
-    aborts_between_events, ///< Aborts streams after a complete event.
-    ends_within_event,     ///< Ends streams properly inside the last event.
-    sends_no_event,        ///< Ends streams properly before the first event.
-    fails_resumed_streams, ///< Answers 500 to requests that resume a stream.
+    aborts_between_events,  ///< Aborts streams after a complete event.
+    ends_within_event,      ///< Ends streams properly inside the last event.
+    sends_no_event,         ///< Ends streams properly before the first event.
+    answers_without_status, ///< Sends answers whose status is 000.
+    fails_resumed_streams,  ///< Answers 500 to requests that resume a stream.
 };
 
 /// A request that has reached an upstream or was started by it.
--- a/tests/fakes/gateway_world/raw_server.cpp
+++ b/tests/fakes/gateway_world/raw_server.cpp
@@ -20,7 +20,9 @@
 
 auto answer_head(int status, const http1::header_list& headers) -> std::string
 {
-    auto head = "HTTP/1.1 " + std::to_string(status) + " " +
+    // A status has three digits.
+    constexpr auto padding = 1000;
+    auto head = "HTTP/1.1 " + std::to_string(padding + status).substr(1) + " " +
                 std::string(http1::reason_phrase(status)) + "\r\n";
     for (const auto& field : headers) {
         head += field.name + ": " + field.value + "\r\n";
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1489,6 +1489,28 @@
     this->expect_no_faults();
 }
 
+// Guards against a caller that gets an answer with status 000, or none until
+// its deadline.
+TEST_F(whole_path_test, an_answer_with_an_invalid_status_has_failed)
+{
+    const auto begin = this->world.clock.now();
+    this->world.upstreams["desk-a"]->set_mode(
+        upstream_mode::answers_without_status);
+    for (auto turn = 0; turn < 4; ++turn) {
+        EXPECT_EQ(this->send_request("read").status, 200);
+    }
+    EXPECT_GT(this->arrivals_since(begin, "desk-a"), 0U);
+    this->world.upstreams["desk-b"]->set_mode(
+        upstream_mode::answers_without_status);
+    this->set_model_mode(upstream_mode::answers_without_status);
+    for (const auto* path : {"book", "stream"}) {
+        const auto runs = this->world.journal.runs.size();
+        EXPECT_EQ(this->send_request(path).status, 502) << path;
+        EXPECT_EQ(this->world.journal.runs.size(), runs + 1) << path;
+    }
+    this->expect_no_faults();
+}
+
 // A caller states many pieces, or many that each take many inputs. Guards
 // against one request whose stage work exhausts the memory of its node and of
 // the owners of its stages.
--- a/tests/unit/http1/parser_test.cpp
+++ b/tests/unit/http1/parser_test.cpp
@@ -234,6 +234,21 @@
     EXPECT_EQ(answer.head->status, 204);
 }
 
+// Guards against a caller that gets a status which is none, or waits for the
+// answer after one that is taken for an interim response.
+TEST(response_parser, rejects_invalid_statuses)
+{
+    for (const auto* status : {"000", "099", "101", "600", "999"}) {
+        auto answer = read_answer();
+        const auto parser = make_parser(answer);
+        EXPECT_EQ(parser->feed("HTTP/1.1 " + std::string(status) +
+                               " X\r\nContent-Length: 0\r\n\r\n"),
+                  http1_errc::malformed_message)
+            << status;
+        EXPECT_FALSE(answer.head) << status;
+    }
+}
+
 TEST(message, recognizes_hop_by_hop_fields)
 {
     const auto headers = header_list{{"Connection", "close, X-Hop"}};
