--- a/src/services/gateway/stage_plan.h
+++ b/src/services/gateway/stage_plan.h
@@ -57,9 +57,8 @@
 
     [[nodiscard]] auto is_complete() const -> bool;
 
-    /// \return Estimated bytes of the work of all stages at a node. The count
-    /// of
-    ///         pieces is the caller's.
+    /// \return Estimated bytes of the work of all stages, as far as the counts
+    ///         of pieces determine them.
     [[nodiscard]] auto work_bytes() const -> double;
 
     /// \return Handles of the results that are inputs of the request itself.
