Review: a piece key that is not ASCII ends every node

Cause: the texts of a stage call are written as JSON without a check for UTF-8, and nobody catches the exception of the library.

Change: case 11 with its stand-ins. The product is unchanged.

--- /dev/null
+++ b/review/standin-3/cases.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "world.h"
+
+namespace review {
+
+/// Result of a case: the exit status of its script.
+enum class outcome
+{
+    held = 0,
+    broken = 1,
+    could_not_run = 2,
+};
+
+auto run_piece_key(record& log, bool has_trouble) -> outcome;
+
+} // namespace review
