Review: late copies of stage answers give requests foreign inputs

Cause: the handles that tell a copy from an answer are kept for each shard of a service, and the shards change at 24 upstreams while the connections stay.

The product is unchanged.

--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -10,9 +10,10 @@
 {
     using namespace review;
     std::signal(SIGPIPE, SIG_IGN);
-    const auto cases =
-        std::map<std::string, outcome (*)(record&, bool)>{
-            {"piece-key", run_piece_key}};
+    const auto cases = std::map<std::string, outcome (*)(record&, bool)>{
+        {"piece-key", run_piece_key},
+        {"late-copy", run_late_copy},
+    };
     const auto found =
         argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
--- a/review/standin-3/net.h
+++ b/review/standin-3/net.h
@@ -78,6 +78,9 @@
     /// Makes the end of the connection a reset.
     auto reset_on_close() -> void;
 
+    /// Bytes that the owner of the connection keeps for later.
+    std::string kept;
+
 private:
     auto read_head(message& into) -> bool;
     auto take_line() -> std::optional<std::string>;
