Review: a refusal that comes twice makes an order run twice

Cause: an answer without a request id counts as the answer to the request that waits on its connection, also where it says that the request has not run.

The product is unchanged.

--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -13,6 +13,7 @@
     const auto cases = std::map<std::string, outcome (*)(record&, bool)>{
         {"piece-key", run_piece_key},
         {"late-copy", run_late_copy},
+        {"doubled-shed", run_doubled_shed},
     };
     const auto found =
         argc == 3 ? cases.find(argv[1]) : cases.end();
