Review: a caller that pauses for three seconds loses its answer

Cause: TCP_USER_TIMEOUT is set on callers' connections, and the kernel also ends a connection whose peer keeps its window closed for that time.

Change: case 14; the case of HEAD becomes 15. The product is unchanged.

--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -14,6 +14,7 @@
 
 auto run_piece_key(record& log, bool has_trouble) -> outcome;
 auto run_late_copy(record& log, bool has_trouble) -> outcome;
+auto run_slow_reader(record& log, bool has_trouble) -> outcome;
 auto run_head_request(record& log, bool has_trouble) -> outcome;
 auto run_doubled_shed(record& log, bool has_trouble) -> outcome;
 
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -13,6 +13,7 @@
     const auto cases = std::map<std::string, outcome (*)(record&, bool)>{
         {"piece-key", run_piece_key},
         {"late-copy", run_late_copy},
+        {"slow-reader", run_slow_reader},
         {"head-request", run_head_request},
         {"doubled-shed", run_doubled_shed},
     };
--- a/review/standin-3/net.cpp
+++ b/review/standin-3/net.cpp
@@ -103,11 +103,15 @@
     close(this->descriptor);
 }
 
-auto connection::open(std::uint16_t port, ms limit)
+auto connection::open(std::uint16_t port, ms limit, int buffer_bytes)
     -> std::unique_ptr<connection>
 {
     const auto descriptor =
         socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (buffer_bytes > 0) {
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                   sizeof(buffer_bytes));
+    }
     const auto address = loopback(port);
     if (connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
                 sizeof(address)) != 0) {
@@ -124,10 +128,7 @@
             return nullptr;
         }
     }
-    // Blocking from now on.
-    const auto plain = dup(descriptor);
-    close(descriptor);
-    auto made = std::make_unique<connection>(plain);
+    auto made = std::make_unique<connection>(descriptor);
     made->set_read_limit(ms(10000));
     return made;
 }
--- a/review/standin-3/net.h
+++ b/review/standin-3/net.h
@@ -53,8 +53,9 @@
     auto operator=(const connection&) -> connection& = delete;
 
     /// \return Nothing if no connection is made within \a limit.
-    static auto open(std::uint16_t port, ms limit = ms(1000))
-        -> std::unique_ptr<connection>;
+    /// \param buffer_bytes Size of the receive buffer; the system's own if 0.
+    static auto open(std::uint16_t port, ms limit = ms(1000),
+                     int buffer_bytes = 0) -> std::unique_ptr<connection>;
 
     auto set_read_limit(ms limit) -> void;
     auto send(std::string_view bytes) -> bool;
