Review: a piece after an omitted stage is asked for with an empty key

Cause: a stage that names others in 'after' gets no key, also where all of them are omitted and it has no inputs.

--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -13,8 +13,8 @@
     const auto cases = std::map<std::string, outcome (*)(record&, bool)>{
         {"piece-key", run_piece_key},
         {"late-copy", run_late_copy},
+        {"omitted-stage", run_omitted_stage},
         {"slow-reader", run_slow_reader},
-        {"head-request", run_head_request},
         {"doubled-shed", run_doubled_shed},
     };
     const auto found =
