Review: an engine's own 503 refuses an order that has run

Cause: an answer that isn't marked as not run goes to the caller with its status, although a 503 promises that the request has not run.

--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -15,6 +15,6 @@
 auto run_late_copy(record& log, bool has_trouble) -> outcome;
 auto run_omitted_stage(record& log, bool has_trouble) -> outcome;
 auto run_slow_reader(record& log, bool has_trouble) -> outcome;
-auto run_head_request(record& log, bool has_trouble) -> outcome;
+auto run_unmarked_failure(record& log, bool has_trouble) -> outcome;
 
 } // namespace review
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -14,7 +14,7 @@
         {"late-copy", run_late_copy},
         {"omitted-stage", run_omitted_stage},
         {"slow-reader", run_slow_reader},
-        {"head-request", run_head_request},
+        {"unmarked-failure", run_unmarked_failure},
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
