--- a/review/standin-3/late_copy.cpp
+++ b/review/standin-3/late_copy.cpp
@@ -76,7 +76,10 @@
             const auto handle = state.make_handle(
                 self.address(), id, clock::now() + time + result_life);
             answers.push_back({{"handle", handle}});
-            text += " " + id + "=" + handle;
+            text += " ";
+            text += id;
+            text += "=";
+            text += handle;
         }
     }
     log.write("engine " + self.id() + " makes" + text);
--- a/review/standin-3/net.cpp
+++ b/review/standin-3/net.cpp
@@ -330,8 +330,9 @@
     const auto on = 1;
     setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const auto address = loopback(0);
-    bind(this->listener, reinterpret_cast<const sockaddr*>(&address),
-         sizeof(address));
+    static_cast<void>(bind(this->listener,
+                           reinterpret_cast<const sockaddr*>(&address),
+                           sizeof(address)));
     listen(this->listener, 256);
     this->bound_port = port_of(this->listener);
     this->acceptor = std::thread([this]() { this->accept_loop(); });
@@ -401,8 +402,9 @@
     const auto on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const auto address = loopback(0);
-    bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
-         sizeof(address));
+    static_cast<void>(bind(descriptor,
+                           reinterpret_cast<const sockaddr*>(&address),
+                           sizeof(address)));
     return port_of(descriptor);
 }
 
@@ -411,7 +413,10 @@
 {
     auto text = start + "\r\n";
     for (const auto& [name, value] : headers) {
-        text += name + ": " + value + "\r\n";
+        text += name;
+        text += ": ";
+        text += value;
+        text += "\r\n";
     }
     text += "\r\n";
     text += body;
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -87,8 +87,8 @@
 class node
 {
 public:
-    node(record& log, std::string folder, std::string name, std::string zone,
-         std::uint16_t store_port);
+    node(record& log, const std::string& folder, std::string name,
+         const std::string& zone, std::uint16_t store_port);
     ~node();
 
     auto start() -> void;
