Review: case 14 begins its requests after contactMs

Cause: the requests began 1 s after the nodes were ready, while LOST speaks of machines whose start is contactMs ago, 4 s on the sheet. Change: the stand-in waits 5 s; the claim names the wait.

--- a/review/standin-3/slow_reader.cpp
+++ b/review/standin-3/slow_reader.cpp
@@ -88,7 +88,9 @@
             return outcome::could_not_run;
         }
     }
-    sleep_for(ms(1000));
+    // The rule holds for machines whose start is contactMs ago, 4 s on the
+    // sheet.
+    sleep_for(ms(5000));
     auto whole = std::atomic<int>(0);
     auto lost = std::atomic<int>(0);
     auto clients = std::vector<std::thread>();
