Review: case 15 fails one engine of eight

Cause: one engine of three is a share of 0.33, over the 0.14 of the site file. Change: eight engines, one of which fails 0.4 of its requests, and 240 orders.

--- a/review/standin-3/unmarked_failure.cpp
+++ b/review/standin-3/unmarked_failure.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-/// The dose of `srv_grey` in the site file, on one engine of three.
+/// One engine of eight and 0.4 of its requests: the site file names a share of
+/// 0.14 and 0.45 for `srv_grey`.
+constexpr auto engine_count = 8;
 constexpr auto failing_share = 0.4;
-constexpr auto orders = 150;
+constexpr auto orders = 240;
 constexpr auto deadline_ms = 3000;
 constexpr auto unavailable = 503;
 
@@ -64,9 +66,11 @@
         return fails;
     };
     auto engines = std::vector<std::unique_ptr<engine>>();
-    for (const auto* zone : {"a", "b", "c"}) {
-        engines.push_back(std::make_unique<engine>(
-            log, std::string("i-desk-") + zone, "desk", zone, hook));
+    for (auto index = 0; index < engine_count; ++index) {
+        const auto letter = std::string(1, char('a' + index));
+        const auto zone = std::string(1, char('a' + index % 3));
+        engines.push_back(std::make_unique<engine>(log, "i-desk-" + letter,
+                                                   "desk", zone, hook));
         platform.put("servers", engines.back()->id(),
                      engines.back()->entry("ready", 1, 1700000000000));
     }
