Ask for pieces after an omitted stage with the caller's key

Callers saw: nothing, they got 200.

Cause: stage_plan::work_of chose between key and inputs by the route's `after` alone, encode_stage_call by whether there are inputs. The two differ where all predecessors are omitted.

The tests' upstreams check the key of every stage call.

--- a/src/libs/serving/request.h
+++ b/src/libs/serving/request.h
@@ -101,9 +101,10 @@
     std::uint32_t stage = 0;
     std::uint32_t piece = 0;
     std::chrono::milliseconds time_left{0};
-    /// The caller's piece key; for stages that take no results as inputs.
+    /// The caller's piece key; for pieces that take no results as inputs.
     std::string key;
-    /// Handles of the results that are the piece's inputs.
+    /// Handles of the results that are the piece's inputs; empty if it has a
+    /// key.
     std::vector<std::string> inputs;
 
     auto operator==(const stage_item&) const -> bool = default;
--- a/src/services/gateway/stage_plan.cpp
+++ b/src/services/gateway/stage_plan.cpp
@@ -106,6 +106,15 @@
     return ready;
 }
 
+auto stage_plan::takes_results(const entry& stage) const -> bool
+{
+    return std::any_of(stage.spec.after.begin(), stage.spec.after.end(),
+                       [this](auto predecessor) {
+                           return predecessor < this->stages.size() &&
+                                  this->stages[predecessor].pieces > 0;
+                       });
+}
+
 auto stage_plan::inputs_of(const entry& stage) const -> std::vector<std::string>
 {
     auto handles = std::vector<std::string>();
@@ -128,10 +137,10 @@
         item.request = this->request;
         item.stage = std::uint32_t(index);
         item.piece = piece;
-        if (stage.spec.after.empty()) {
-            item.key = this->key;
-        } else {
+        if (this->takes_results(stage)) {
             item.inputs = inputs;
+        } else {
+            item.key = this->key;
         }
         work.items.push_back(std::move(item));
     }
--- a/src/services/gateway/stage_plan.h
+++ b/src/services/gateway/stage_plan.h
@@ -22,7 +22,9 @@
 };
 
 /// The stages of one request: which can run now, their inputs, and which
-/// results are inputs of the request itself. A state machine without I/O.
+/// results are inputs of the request itself. A stage without pieces is omitted:
+/// it is neither run nor a predecessor or consumer of another stage. A state
+/// machine without I/O.
 class stage_plan
 {
 public:
@@ -96,6 +98,9 @@
     [[nodiscard]] auto has_inputs(const entry& stage) const -> bool;
     [[nodiscard]] auto has_unfinished_consumer(std::size_t stage) const -> bool;
     [[nodiscard]] auto has_consumer(std::size_t stage) const -> bool;
+    /// \return Whether the pieces of a stage take results of other stages, and
+    ///         not the caller's piece key.
+    [[nodiscard]] auto takes_results(const entry& stage) const -> bool;
     [[nodiscard]] auto inputs_of(const entry& stage) const
         -> std::vector<std::string>;
     [[nodiscard]] auto transfer_bytes(std::size_t stage) const -> std::uint64_t;
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -436,6 +436,11 @@
         output.stage = item["stage"].get<std::uint32_t>();
         output.piece = item["piece"].get<std::uint32_t>();
         auto is_gone = false;
+        if (!item.contains("inputs") &&
+            item.value("key", "") != expected_piece_key) {
+            this->journal.violations.push_back(
+                "piece without inputs or the caller's key: " + output.request);
+        }
         for (const auto& input : item.value("inputs", json::array())) {
             const auto found =
                 this->journal.results.find(input.get<std::string>());
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -78,6 +78,9 @@
 /// How long a request waits at an upstream that rejects it late.
 constexpr auto rejection_delay = core::milliseconds(300);
 
+/// The piece key of every request of the callers.
+constexpr auto expected_piece_key = "piece";
+
 /// Number of events of a complete stream.
 constexpr auto stream_events = 6;
 
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -51,7 +51,7 @@
     }
     if (record.path.starts_with("staged")) {
         request.headers.add("X-Almondtiller-Pieces", pieces);
-        request.headers.add("X-Almondtiller-Piece-Key", "piece");
+        request.headers.add("X-Almondtiller-Piece-Key", expected_piece_key);
     }
     if (request.method == "POST") {
         request.body = body.empty() ? "body of " + record.id : body;
--- a/tests/unit/gateway/stage_plan_test.cpp
+++ b/tests/unit/gateway/stage_plan_test.cpp
@@ -169,4 +169,45 @@
     EXPECT_TRUE(this->plan().is_complete());
 }
 
+// Guards against pieces of a stage whose predecessors are all omitted that have
+// neither the caller's key nor inputs.
+TEST_F(stage_plan_test, each_piece_has_the_callers_key_or_inputs)
+{
+    using counts = std::vector<std::uint32_t>;
+    for (const auto& pieces :
+         {counts{0, 0, 3, 1}, counts{2, 0, 3, 1}, counts{2, 0, 0, 1},
+          counts{0, 1, 0, 2}, counts{0, 1, 3, 0}, counts{0, 0, 0, 2}}) {
+        this->request.pieces = pieces;
+        auto plan = this->plan();
+        while (!plan.is_complete()) {
+            const auto ready = plan.start_ready();
+            ASSERT_FALSE(ready.empty());
+            for (const auto stage : ready) {
+                const auto work = plan.work_of(stage);
+                ASSERT_EQ(work.items.size(), pieces[stage]);
+                const auto has_predecessor = stage > 1 && pieces[stage - 1] > 0;
+                for (const auto& item : work.items) {
+                    EXPECT_EQ(item.key, has_predecessor ? "" : "key");
+                    EXPECT_EQ(item.inputs.size(),
+                              has_predecessor ? pieces[stage - 1] : 0);
+                }
+                plan.on_done(stage, std::vector<std::string>(
+                                        pieces[stage], std::to_string(stage)));
+            }
+        }
+    }
+}
+
+// Guards against results of a stage that are used by nobody because the stage
+// that takes them is omitted.
+TEST_F(stage_plan_test, results_for_an_omitted_stage_are_inputs_of_the_request)
+{
+    this->request.pieces = {0, 1, 0, 2};
+    auto plan = this->plan();
+    EXPECT_EQ(plan.start_ready(), (std::vector<std::size_t>{1, 3}));
+    plan.on_done(1, {"a"});
+    plan.on_done(3, {"b", "c"});
+    EXPECT_EQ(plan.inputs(), (std::vector<std::string>{"a", "b", "c"}));
+}
+
 } // namespace almondtiller::gateway
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1526,6 +1526,17 @@
     this->expect_no_faults();
 }
 
+// Guards against stage calls with an empty key for callers that omit a stage.
+TEST_F(whole_path_test, pieces_after_an_omitted_stage_have_the_callers_key)
+{
+    for (const auto* pieces : {"0,2", "1,0", "1,2"}) {
+        this->caller.set_pieces(pieces);
+        EXPECT_EQ(this->send_request("staged").status, 200) << pieces;
+    }
+    EXPECT_EQ(this->world.journal.violations, std::vector<std::string>());
+    this->expect_no_faults();
+}
+
 // The caller got the first part of the event and a proper end.
 TEST_P(answer_end_test, a_stream_that_ends_within_an_event_is_broken_off)
 {
