Answer 400 to requests without the piece key that they need

Callers saw: 200 for a request with pieces and without X-Almondtiller-Piece-Key; its pieces were asked for with an empty key, which no caller had sent.

Cause: a missing field and an empty one were the same to the node.

Evidence: whole_path_test.a_request_without_a_piece_key_is_refused_at_once on: status 200, violations "piece without inputs or the caller's key".

Change: where a stage with pieces takes the key and there is none, the request is answered 400 (no_piece_key) before any work starts.

--- a/src/apps/tillerctl/log_history.cpp
+++ b/src/apps/tillerctl/log_history.cpp
@@ -57,6 +57,8 @@
     reason_row{"request_too_large", "refused",
                "The prompt and the output need more memory than an upstream of "
                "the service has."},
+    reason_row{"no_piece_key", "failed",
+               "The request has pieces of a stage and no piece key."},
     reason_row{"turned_away", "turned_away",
                "Several upstreams in turn said that they had no room."},
     reason_row{"upstream_broke_off", "attempt_broken",
--- a/src/services/gateway/flow_limits.h
+++ b/src/services/gateway/flow_limits.h
@@ -49,6 +49,7 @@
 /// Retry delay of requests that are rejected because they crash upstreams.
 inline constexpr auto quarantine_retry_after = core::milliseconds(5000);
 
+inline constexpr auto bad_request = 400;
 inline constexpr auto bad_gateway = 502;
 inline constexpr auto unavailable = 503;
 inline constexpr auto gateway_timeout = 504;
--- a/src/services/gateway/node_state.h
+++ b/src/services/gateway/node_state.h
@@ -42,7 +42,6 @@
 inline constexpr auto leave_check_interval = core::milliseconds(50);
 
 inline constexpr auto ok = 200;
-inline constexpr auto bad_request = 400;
 inline constexpr auto unauthorized = 401;
 inline constexpr auto not_found = 404;
 
--- a/src/services/gateway/request_flow.cpp
+++ b/src/services/gateway/request_flow.cpp
@@ -179,6 +179,10 @@
         this->reject("too_many_pieces", min_retry_delay);
         return;
     }
+    if (this->request.piece_key.empty() && this->stages->needs_key()) {
+        this->fail(bad_request, "no_piece_key");
+        return;
+    }
     this->run_stages();
 }
 
--- a/src/services/gateway/stage_plan.cpp
+++ b/src/services/gateway/stage_plan.cpp
@@ -270,6 +270,14 @@
     return released;
 }
 
+auto stage_plan::needs_key() const -> bool
+{
+    return std::any_of(
+        this->stages.begin(), this->stages.end(), [this](const auto& stage) {
+            return stage.pieces > 0 && !this->takes_results(stage);
+        });
+}
+
 auto stage_plan::is_complete() const -> bool
 {
     return std::all_of(this->stages.begin(), this->stages.end(),
--- a/src/services/gateway/stage_plan.h
+++ b/src/services/gateway/stage_plan.h
@@ -57,6 +57,9 @@
     auto on_done(std::size_t stage, std::vector<std::string> handles)
         -> std::vector<released_results>;
 
+    /// \return Whether a stage runs with the caller's piece key.
+    [[nodiscard]] auto needs_key() const -> bool;
+
     [[nodiscard]] auto is_complete() const -> bool;
 
     /// \return Estimated bytes of the work of all stages, as far as the counts
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -33,7 +33,7 @@
 
 auto request_text(const call_record& record, const std::string& key,
                   const std::string& prompt, const std::string& body,
-                  const std::string& pieces, std::uint64_t shared_tokens)
+                  const stage_fields& stages, std::uint64_t shared_tokens)
     -> std::string
 {
     auto request = http1::request_message();
@@ -50,8 +50,10 @@
         request.headers.add("X-Almondtiller-Prompt-Prefix", prompt);
     }
     if (record.path.starts_with("staged")) {
-        request.headers.add("X-Almondtiller-Pieces", pieces);
-        request.headers.add("X-Almondtiller-Piece-Key", expected_piece_key);
+        request.headers.add("X-Almondtiller-Pieces", stages.pieces);
+        if (!stages.key.empty()) {
+            request.headers.add("X-Almondtiller-Piece-Key", stages.key);
+        }
     }
     if (request.method == "POST") {
         request.body = body.empty() ? "body of " + record.id : body;
@@ -84,7 +86,12 @@
 
 auto world_caller::set_pieces(std::string counts) -> void
 {
-    this->pieces = std::move(counts);
+    this->stages.pieces = std::move(counts);
+}
+
+auto world_caller::set_piece_key(std::string key) -> void
+{
+    this->stages.key = std::move(key);
 }
 
 auto world_caller::call(const core::endpoint& front, const std::string& path,
@@ -124,7 +131,7 @@
     auto options = http1::call_options();
     options.longest_idle = core::milliseconds(2000);
     this->pool.call({core::to_text(front), front},
-                    request_text(record, key, parts, this->body, this->pieces,
+                    request_text(record, key, parts, this->body, this->stages,
                                  this->shared_tokens),
                     options, std::move(hooks));
     return record;
--- a/tests/fakes/gateway_world/world_caller.h
+++ b/tests/fakes/gateway_world/world_caller.h
@@ -28,6 +28,17 @@
     double retry_after = -1;
 };
 
+/// What a request states about its stages.
+struct stage_fields
+{
+    /// Number of pieces of each stage.
+    std::string pieces = "2,3";
+    /// The piece key; no field if empty.
+    std::string key = expected_piece_key;
+
+    auto operator==(const stage_fields&) const -> bool = default;
+};
+
 /// Sends requests to the world's routes, and checks their answers against the
 /// requests that upstreams received.
 class world_caller
@@ -58,6 +69,9 @@
     /// Sets how many pieces each stage of a request has.
     auto set_pieces(std::string counts) -> void;
 
+    /// Sets the piece key of the requests; none if empty.
+    auto set_piece_key(std::string key) -> void;
+
     /// Waits until a call has ended.
     /// \return False if it has not ended within the callers' timeout.
     auto wait(const call_record& record) -> bool;
@@ -81,7 +95,7 @@
     std::uint64_t shared_tokens = 60;
     std::string prompt;
     std::string body;
-    std::string pieces = "2,3";
+    stage_fields stages;
 };
 
 } // namespace almondtiller::gateway_world
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1537,6 +1537,16 @@
     this->expect_no_faults();
 }
 
+// Guards against stage calls with a key that no caller has sent.
+TEST_F(whole_path_test, a_request_without_a_piece_key_is_refused_at_once)
+{
+    this->caller.set_piece_key("");
+    EXPECT_EQ(this->send_request("staged").status, 400);
+    EXPECT_EQ(this->world.journal.stage_calls, 0U);
+    EXPECT_EQ(this->send_request("stream").status, 200);
+    this->expect_no_faults();
+}
+
 // The caller got the first part of the event and a proper end.
 TEST_P(answer_end_test, a_stream_that_ends_within_an_event_is_broken_off)
 {
