Compare each answer with all earlier ones of its connection

Cause: what tells a copy was kept where answers are used, in the queue of a stage's shard and in a request. A copy comes on the connection of its original. At 24 upstreams a service gets a shard and a queue in each zone, while its connections stay.

Change: a connection keeps the identities of all answers it has carried, as long as it is open; with 4,096 values it is closed. Each kind of call names the identity of its answer from the answer alone: request id, handles, the text of a report. An answer with a known identity fails its call, one without is the last of its connection. A call whose answer will have a known identity takes a connection that has not carried it, which replaces needs_new_connection.

Tests: connection_test has five for the history. They replace stage_queue_test.an_earlier_answer_cannot_be_that_to_a_later_call, as the queue no longer decides this: known values, one known value of two, a value twice in one answer; a wrong count is foreign_answer. Fake upstreams can keep a copy until the next stage call; before, calls that free results always took it.

--- a/src/libs/dispatch/stage_limits.h
+++ b/src/libs/dispatch/stage_limits.h
@@ -30,9 +30,6 @@
 inline constexpr auto min_capacity_share = 0.05;
 /// Pause of an upstream after it was full or failed a call.
 inline constexpr auto call_failure_pause = core::milliseconds(40);
-/// How long returned handles are remembered: longer than a connection may be
-/// idle between two calls plus the timeout of a call.
-inline constexpr auto handle_retention = core::milliseconds(15000);
 
 inline auto as_duration(std::chrono::duration<double, std::milli> time)
     -> core::duration
--- a/src/libs/dispatch/stage_queue.cpp
+++ b/src/libs/dispatch/stage_queue.cpp
@@ -9,7 +9,7 @@
 namespace almondtiller::dispatch {
 
 stage_queue::stage_queue(serving::stage_pool spec, stage_queue_limits limits)
-    : pool(spec), returned_handles(handle_retention)
+    : pool(spec)
 {
     if (limits.has_fair_sharing) {
         this->order.emplace();
--- a/src/libs/dispatch/stage_queue.h
+++ b/src/libs/dispatch/stage_queue.h
@@ -3,7 +3,6 @@
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "dispatch/arrival_rates.h"
-#include "dispatch/handle_history.h"
 #include "dispatch/request_pacer.h"
 #include "dispatch/version_rules.h"
 #include "fairness/fair_queue_order.h"
@@ -133,15 +132,6 @@
     ///         piece.
     auto next_call(core::time_point now) -> std::optional<stage_call>;
 
-    /// \return Whether the results can be those of a call: one per item, with
-    ///         handles that no earlier answer contained. An upstream may send
-    ///         an answer a second time, where the answer to the next call is
-    ///         due.
-    [[nodiscard]] auto
-    can_be_answer(std::uint64_t call,
-                  const std::vector<serving::stage_result>& results) const
-        -> bool;
-
     /// A call has completed with one result per item.
     auto on_results(std::uint64_t call,
                     const std::vector<serving::stage_result>& results,
@@ -363,7 +353,6 @@
     std::map<std::uint64_t, work_state> works;
     std::map<std::uint64_t, call_state> calls;
     std::map<std::string, core::upstream_id> result_holders;
-    handle_history returned_handles;
     std::optional<fairness::fair_queue_order> order;
     arrival_rates arrivals;
     upstream_speed::service_speeds speeds;
--- a/src/libs/dispatch/stage_results.cpp
+++ b/src/libs/dispatch/stage_results.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -33,30 +32,6 @@
     return removed;
 }
 
-auto stage_queue::can_be_answer(
-    std::uint64_t call, const std::vector<serving::stage_result>& results) const
-    -> bool
-{
-    const auto found = this->calls.find(call);
-    if (found == this->calls.end() ||
-        found->second.pieces.size() != results.size()) {
-        return false;
-    }
-    auto handles = std::set<std::string>();
-    auto handle_count = std::size_t(0);
-    for (const auto& result : results) {
-        if (!result.handle.empty()) {
-            ++handle_count;
-            handles.insert(result.handle);
-        }
-    }
-    return handles.size() == handle_count &&
-           std::none_of(handles.begin(), handles.end(),
-                        [this](const auto& handle) {
-                            return this->returned_handles.contains(handle);
-                        });
-}
-
 auto stage_queue::on_results(std::uint64_t call,
                              const std::vector<serving::stage_result>& results,
                              core::time_point now) -> stage_effects
@@ -81,7 +56,6 @@
         const auto is_wanted = work != this->works.end() &&
                                work->second.pieces[ref.index].handle.empty();
         if (!result.handle.empty()) {
-            this->returned_handles.record(result.handle, now);
             const auto bytes =
                 work == this->works.end() ? 0 : work->second.work.result_bytes;
             if (upstream != this->upstreams.end()) {
--- a/src/libs/http1/client_connection.cpp
+++ b/src/libs/http1/client_connection.cpp
@@ -156,6 +156,30 @@
     this->stream->close();
 }
 
+auto client_connection::check_answer(const answer_identity& identity)
+    -> std::error_code
+{
+    if (!identity.is_possible) {
+        this->cancel();
+        return http1_errc::foreign_answer;
+    }
+    if (!this->answers.record(identity.values)) {
+        this->cancel();
+        return http1_errc::repeated_answer;
+    }
+    const auto is_identified =
+        !identity.values.empty() || identity.is_interchangeable;
+    if (!is_identified || this->answers.is_full()) {
+        this->cancel();
+    }
+    return {};
+}
+
+auto client_connection::has_carried(const std::string& value) const -> bool
+{
+    return this->answers.contains(value);
+}
+
 auto client_connection::is_idle() const -> bool
 {
     return !this->parser;
--- a/src/libs/http1/client_connection.h
+++ b/src/libs/http1/client_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "event/tcp_stream.h"
+#include "http1/answer_history.h"
 #include "http1/parser.h"
 
 #include <functional>
@@ -35,6 +36,16 @@
     /// Cancels the call and closes the connection; no further hook is called.
     auto cancel() -> void;
 
+    /// Compares a complete answer with all earlier ones and records it. Closes
+    /// the connection if the answer is not the one to the call, or if a copy of
+    /// it could be taken for a later answer.
+    /// \return http1_errc::foreign_answer or http1_errc::repeated_answer if it
+    ///         is not the one to the call.
+    auto check_answer(const answer_identity& identity) -> std::error_code;
+
+    /// \return Whether an answer with this value was recorded.
+    [[nodiscard]] auto has_carried(const std::string& value) const -> bool;
+
     [[nodiscard]] auto is_idle() const -> bool;
     [[nodiscard]] auto is_open() const -> bool;
 
@@ -58,6 +69,7 @@
     std::shared_ptr<event::tcp_stream> stream;
     std::unique_ptr<response_parser> parser;
     std::shared_ptr<const call_hooks> hooks;
+    answer_history answers;
     std::chrono::seconds announced_timeout{0};
     std::uint64_t body_bytes = 0;
     std::uint64_t body_limit = 0;
--- a/src/libs/http1/client_pool.cpp
+++ b/src/libs/http1/client_pool.cpp
@@ -62,8 +62,7 @@
     }
 }
 
-auto client_pool::take_idle(const std::string& key,
-                            core::milliseconds longest_idle)
+auto client_pool::take_idle(const std::string& key, const call_options& options)
     -> std::shared_ptr<client_connection>
 {
     const auto found = this->idle.find(key);
@@ -71,11 +70,17 @@
         return nullptr;
     }
     auto& kept = found->second;
-    while (!kept.empty()) {
-        auto newest = std::move(kept.back());
-        kept.pop_back();
-        if (is_usable(*newest.connection, this->event_loop.now() - newest.since,
-                      longest_idle)) {
+    for (auto index = kept.size(); index-- > 0;) {
+        const auto newest = kept[index];
+        const auto idle_for = this->event_loop.now() - newest.since;
+        const auto is_open =
+            is_usable(*newest.connection, idle_for, options.longest_idle);
+        if (is_open && !options.expected_value.empty() &&
+            newest.connection->has_carried(options.expected_value)) {
+            continue;
+        }
+        kept.erase(kept.begin() + std::ptrdiff_t(index));
+        if (is_open) {
             return newest.connection;
         }
     }
@@ -89,10 +94,7 @@
     auto call = std::make_shared<pooled_call>();
     this->active_calls.push_back(call);
     this->start_timeout(call, options.longest, hooks);
-    auto kept = options.needs_new_connection
-                    ? nullptr
-                    : this->take_idle(target.key, options.longest_idle);
-    if (kept) {
+    if (auto kept = this->take_idle(target.key, options)) {
         call->connection = std::move(kept);
         this->send(call, target.key, std::move(request), options,
                    std::move(hooks));
@@ -131,13 +133,13 @@
     callbacks.on_head = std::move(hooks.on_head);
     callbacks.on_body = std::move(hooks.on_body);
     callbacks.on_done = [this, pool_alive = this->is_alive, call, key,
-                         is_own = std::move(hooks.is_own_answer),
+                         identify = std::move(hooks.identify),
                          done =
                              std::move(hooks.on_done)](std::error_code error) {
         const auto used = std::exchange(call->connection, nullptr);
         call->is_finished = true;
-        if (!error && used && is_own && !is_own()) {
-            used->cancel();
+        if (!error && used && identify) {
+            error = used->check_answer(identify());
         }
         if (*pool_alive && !error && used && used->is_reusable()) {
             this->idle[key].push_back({used, this->event_loop.now()});
--- a/src/libs/http1/client_pool.h
+++ b/src/libs/http1/client_pool.h
@@ -27,10 +27,10 @@
     /// Connections that were idle for longer are not reused: the server may
     /// close them while the request is being sent.
     core::milliseconds longest_idle{3000};
-    /// Whether the call must not use an idle connection: a copy of an earlier
-    /// answer may still arrive there, and only the caller can tell whether that
-    /// answer could pass for the one to this call.
-    bool needs_new_connection = false;
+    /// A value that will identify the answer, if it is known before the call;
+    /// empty otherwise. Connections that have carried an answer with this value
+    /// are not used, as a copy of that answer could be taken for this one.
+    std::string expected_value;
     bool has_no_body = false;
     /// The call fails if the response body is larger than this number of bytes;
     /// 0 means no limit, for bodies that are streamed.
@@ -48,10 +48,10 @@
     std::function<void()> on_sent;
     std::function<void(response_head)> on_head;
     std::function<void(std::string_view)> on_body;
-    /// Called when the answer is complete. If it returns false, the connection
-    /// is not used again: the answer may be that of an earlier call, and the
-    /// true one still to come. May be empty.
-    std::function<bool()> is_own_answer;
+    /// Called when the answer is complete; see
+    /// client_connection::check_answer(). May be empty for a server that sends
+    /// each answer once.
+    std::function<answer_identity()> identify;
     /// \param sent False if no byte of the request can have reached the server.
     std::function<void(std::error_code error, bool sent)> on_done;
 };
@@ -100,7 +100,7 @@
         std::shared_ptr<client_connection> connection;
         core::time_point since;
     };
-    auto take_idle(const std::string& key, core::milliseconds longest_idle)
+    auto take_idle(const std::string& key, const call_options& options)
         -> std::shared_ptr<client_connection>;
     auto send(const std::shared_ptr<pooled_call>& call, const std::string& key,
               std::string request, const call_options& options,
--- a/src/libs/http1/http1.h
+++ b/src/libs/http1/http1.h
@@ -4,6 +4,7 @@
 /// parses the messages; response bodies are streamed. Must be used on the
 /// loop's thread only.
 
+#include "http1/answer_history.h"
 #include "http1/client_connection.h"
 #include "http1/client_pool.h"
 #include "http1/message.h"
--- a/src/libs/http1/parser.cpp
+++ b/src/libs/http1/parser.cpp
@@ -33,7 +33,11 @@
     core::error_entry{int(http1_errc::unexpected_bytes), "unexpected_bytes",
                       "bytes came where no message was due"},
     core::error_entry{int(http1_errc::timed_out), "timed_out",
-                      "the peer said nothing for too long"}};
+                      "the peer said nothing for too long"},
+    core::error_entry{int(http1_errc::foreign_answer), "foreign_answer",
+                      "the answer can't be the one to the call"},
+    core::error_entry{int(http1_errc::repeated_answer), "repeated_answer",
+                      "the answer repeats an earlier one"}};
 
 auto text(beast_text view) -> std::string
 {
--- a/src/libs/http1/parser.h
+++ b/src/libs/http1/parser.h
@@ -10,7 +10,7 @@
 
 namespace almondtiller::http1 {
 
-/// Reasons why a message cannot be read.
+/// Reasons why a message cannot be read or used.
 enum class http1_errc
 {
     malformed_message = 1, ///< Not HTTP/1.1, or an ambiguous body length.
@@ -19,6 +19,8 @@
     truncated_message, ///< The connection closed within a message.
     unexpected_bytes,  ///< Bytes where no message was expected.
     timed_out,         ///< The message was not complete within the timeout.
+    foreign_answer,    ///< The answer cannot be the one to the call.
+    repeated_answer,   ///< The connection has carried the answer before.
 };
 
 [[nodiscard]] auto http1_category() -> const std::error_category&;
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -60,15 +60,13 @@
          {"attempt", std::to_string(this->attempts)},
          {"inputs", std::to_string(send_parameters.inputs.size())},
          {"resumes", this->events.last_id().empty() ? "no" : "yes"},
-         {"answered_before",
-          this->answered_by.contains(granted.id) ? "yes" : "no"},
          {"left_ms", ms_text(send_parameters.time_left)},
          {"elapsed_ms", this->elapsed_ms()}});
     auto options = http1::call_options();
     options.connect_limit = connect_timeout;
     options.longest_idle = this->is_retryable() ? max_idle_if_retryable
                                                 : max_idle_if_not_retryable;
-    options.needs_new_connection = this->answered_by.contains(granted.id);
+    options.expected_value = this->request.id.str();
     options.has_no_body = this->request.method == "HEAD";
     if (this->route.kind == serving::route_kind::streaming) {
         // Events are forwarded as they arrive; see forward_events().
@@ -81,7 +79,9 @@
     hooks.on_sent = [self, number]() {
         self->on_sent(number);
     };
-    hooks.on_head = [self, number](http1::response_head answer) {
+    const auto identity = std::make_shared<http1::answer_identity>();
+    hooks.on_head = [self, number, identity](http1::response_head answer) {
+        *identity = adapter::identify_response(answer);
         if (!self->is_failure_of_held(number, answer) &&
             self->is_current(number)) {
             self->on_head(std::move(answer));
@@ -92,6 +92,9 @@
             self->on_body(bytes);
         }
     };
+    hooks.identify = [identity]() {
+        return *identity;
+    };
     hooks.on_done = [self, number](std::error_code error, bool sent) {
         if (error && number != self->attempt_number) {
             self->on_held_attempt_failed(number, error);
@@ -225,7 +228,6 @@
     }
     if (!error) {
         this->close_record();
-        this->answered_by.insert(this->last_upstream);
     }
     this->record.reset();
     if (error) {
--- a/src/services/gateway/request_flow.h
+++ b/src/services/gateway/request_flow.h
@@ -242,10 +242,6 @@
     /// Smallest delay of the next search, doubled by each.
     core::milliseconds next_search_delay = min_retry_delay;
     std::vector<core::upstream_id> excluded;
-    /// Upstreams that have answered an attempt. They may send a copy of that
-    /// answer on the same connection, and its request id is that of all
-    /// attempts.
-    std::set<core::upstream_id> answered_by;
     /// Attempts that may have run.
     int attempts = 0;
     /// Attempts that upstreams rejected without running them.
--- a/src/services/gateway/stage_dispatcher.cpp
+++ b/src/services/gateway/stage_dispatcher.cpp
@@ -163,18 +163,9 @@
                                  const dispatch::stage_call& call) -> void
 {
     auto answer = std::make_shared<call_answer>();
-    const auto sent_at = this->event_loop.now();
-    auto hooks = http1::pool_hooks();
-    hooks.on_head = [this, answer, call,
-                     sent_at](const http1::response_head& head) {
-        answer->verdict = adapter::decode_verdict(head);
-        this->handle_verdict(call.upstream.id, answer->verdict, sent_at);
-    };
-    hooks.on_body = [answer](std::string_view bytes) {
-        answer->body += bytes;
-    };
-    hooks.is_own_answer = [this, shard_key, call, answer]() {
-        return this->read_results(shard_key, call, *answer);
+    auto hooks = this->keep_answer(call.upstream.id, answer);
+    hooks.identify = [pieces = call.items.size(), answer]() {
+        return read_results(pieces, *answer);
     };
     auto options = http1::call_options();
     options.connect_limit = connect_timeout;
@@ -221,28 +212,6 @@
     }
 }
 
-auto stage_dispatcher::read_results(const dispatch::shard& shard_key,
-                                    const dispatch::stage_call& call,
-                                    call_answer& answer) -> bool
-{
-    constexpr auto ok_status = 200;
-    const auto found = this->owned_shards.find(shard_key);
-    if (found == this->owned_shards.end() ||
-        answer.verdict.status != ok_status) {
-        return false;
-    }
-    auto results =
-        adapter::decode_stage_results(answer.body, call.items.size());
-    if (!results ||
-        !found->second->queue.can_be_answer(call.id, results.value())) {
-        return false;
-    }
-    answer.results = std::move(results.value());
-    return std::any_of(
-        answer.results->begin(), answer.results->end(),
-        [](const auto& result) { return !result.handle.empty(); });
-}
-
 auto stage_dispatcher::on_call_done(const dispatch::shard& shard_key,
                                     const dispatch::stage_call& call,
                                     const call_answer& answer,
--- a/src/services/gateway/stage_dispatcher.h
+++ b/src/services/gateway/stage_dispatcher.h
@@ -100,20 +100,30 @@
     auto find(const dispatch::shard& shard_key) -> stage_shard*;
     auto send_call(const dispatch::shard& shard_key,
                    const dispatch::stage_call& call) -> void;
-    /// The answer to a stage call.
+    /// The answer to a call of this class.
     struct call_answer
     {
         serving::upstream_verdict verdict;
+        http1::answer_identity identity;
         std::string body;
-        /// Empty unless they can be the results of the call.
+        /// Empty unless the answer has one for each piece of the call.
         std::optional<std::vector<serving::stage_result>> results;
     };
 
-    /// Reads the results of a complete answer.
-    /// \return Whether they show that the answer is that to the call.
-    auto read_results(const dispatch::shard& shard_key,
-                      const dispatch::stage_call& call, call_answer& answer)
-        -> bool;
+    /// \return Hooks that keep an answer and report what its head states.
+    auto keep_answer(const core::upstream_id& upstream,
+                     const std::shared_ptr<call_answer>& answer)
+        -> http1::pool_hooks;
+    /// Reads the results of a complete answer to a call of \a pieces pieces.
+    /// \return The identity of the answer; an upstream gives each handle once.
+    static auto read_results(std::size_t pieces, call_answer& answer)
+        -> http1::answer_identity;
+    static auto identify_free_answer(const call_answer& answer)
+        -> http1::answer_identity;
+    /// A report that has not changed counts as a copy of the earlier one, as
+    /// nothing in it is new in each report.
+    static auto identify_report(const call_answer& answer)
+        -> http1::answer_identity;
     auto on_call_done(const dispatch::shard& shard_key,
                       const dispatch::stage_call& call,
                       const call_answer& answer, std::error_code error) -> void;
@@ -129,8 +139,8 @@
     auto request_room(const dispatch::shard& shard_key,
                       stage_shard& shard_state) -> void;
     auto on_room_report(const dispatch::shard& shard_key,
-                        const core::upstream_id& upstream, int status,
-                        const std::string& body) -> void;
+                        const core::upstream_id& upstream,
+                        const call_answer& report) -> void;
     auto record_speed(const core::upstream_id& upstream, double percent)
         -> void;
     auto apply(const dispatch::shard& shard_key, stage_shard& shard_state,
--- a/src/services/gateway/stage_dispatcher_results.cpp
+++ b/src/services/gateway/stage_dispatcher_results.cpp
@@ -7,6 +7,64 @@
 
 namespace almondtiller::gateway {
 
+namespace {
+
+constexpr auto ok_status = 200;
+
+} // namespace
+
+auto stage_dispatcher::keep_answer(const core::upstream_id& upstream,
+                                   const std::shared_ptr<call_answer>& answer)
+    -> http1::pool_hooks
+{
+    auto hooks = http1::pool_hooks();
+    hooks.on_head = [this, upstream, answer, sent_at = this->event_loop.now()](
+                        const http1::response_head& head) {
+        answer->verdict = adapter::decode_verdict(head);
+        answer->identity = adapter::identify_response(head);
+        this->handle_verdict(upstream, answer->verdict, sent_at);
+    };
+    hooks.on_body = [answer](std::string_view bytes) {
+        answer->body += bytes;
+    };
+    return hooks;
+}
+
+auto stage_dispatcher::read_results(std::size_t pieces, call_answer& answer)
+    -> http1::answer_identity
+{
+    auto identity = answer.identity;
+    if (answer.verdict.status != ok_status) {
+        return identity;
+    }
+    auto results = adapter::decode_stage_results(answer.body, pieces);
+    if (!results) {
+        identity.is_possible = false;
+        return identity;
+    }
+    answer.results = std::move(results.value());
+    for (const auto& result : *answer.results) {
+        if (!result.handle.empty()) {
+            identity.values.push_back(result.handle);
+        }
+    }
+    return identity;
+}
+
+auto stage_dispatcher::identify_free_answer(const call_answer& answer)
+    -> http1::answer_identity
+{
+    auto identity = answer.identity;
+    if (answer.verdict.status == ok_status) {
+        // Nothing is read from the answer, and other calls have a body of
+        // their own.
+        identity.is_interchangeable = true;
+        identity.is_possible = !adapter::has_stage_results(answer.body) &&
+                               !adapter::decode_free_room(answer.body);
+    }
+    return identity;
+}
+
 auto stage_dispatcher::free_results(const serving::service_name& name,
                                     const std::vector<std::string>& handles)
     -> void
@@ -36,18 +94,10 @@
                 shard_state->second->queue.on_result_freed(handle);
             }
         }
-        auto hooks = http1::pool_hooks();
-        hooks.on_head = [this, holder = id, sent_at = this->event_loop.now()](
-                            const http1::response_head& head) {
-            this->handle_verdict(holder, adapter::decode_verdict(head),
-                                 sent_at);
-        };
-        auto body = std::make_shared<std::string>();
-        hooks.on_body = [body](std::string_view bytes) {
-            *body += bytes;
-        };
-        hooks.is_own_answer = [body]() {
-            return !adapter::has_stage_results(*body);
+        auto answer = std::make_shared<call_answer>();
+        auto hooks = this->keep_answer(id, answer);
+        hooks.identify = [answer]() {
+            return identify_free_answer(*answer);
         };
         hooks.on_done = [this, name](std::error_code error, bool) {
             if (error) {
--- a/src/services/gateway/stage_dispatcher_room.cpp
+++ b/src/services/gateway/stage_dispatcher_room.cpp
@@ -1,4 +1,5 @@
 #include "platform/stage_calls.h"
+#include "platform/upstream_messages.h"
 #include "services/gateway/flow_limits.h"
 #include "services/gateway/stage_dispatcher.h"
 
@@ -8,6 +9,7 @@
 
 /// A report that takes longer describes a state that is over.
 constexpr auto report_timeout = core::milliseconds(1000);
+constexpr auto ok_status = 200;
 
 } // namespace
 
@@ -25,6 +27,17 @@
     this->owner_check = std::move(check);
 }
 
+auto stage_dispatcher::identify_report(const call_answer& answer)
+    -> http1::answer_identity
+{
+    auto identity = answer.identity;
+    if (answer.verdict.status == ok_status) {
+        identity.is_possible = bool(adapter::decode_free_room(answer.body));
+        identity.values.push_back(answer.body);
+    }
+    return identity;
+}
+
 auto stage_dispatcher::request_room(const dispatch::shard& shard_key,
                                     stage_shard& shard_state) -> void
 {
@@ -38,22 +51,22 @@
         if (!this->serving_state.may_send(upstream.id, now)) {
             continue;
         }
+        auto answer = std::make_shared<call_answer>();
         auto hooks = http1::pool_hooks();
-        auto status = std::make_shared<int>(0);
-        auto body = std::make_shared<std::string>();
-        hooks.on_head = [status](const http1::response_head& head) {
-            *status = head.status;
+        hooks.on_head = [answer](const http1::response_head& head) {
+            answer->verdict = adapter::decode_verdict(head);
+            answer->identity = adapter::identify_response(head);
         };
-        hooks.on_body = [body](std::string_view bytes) {
-            *body += bytes;
+        hooks.on_body = [answer](std::string_view bytes) {
+            answer->body += bytes;
         };
-        hooks.is_own_answer = [body]() {
-            return bool(adapter::decode_free_room(*body));
+        hooks.identify = [answer]() {
+            return identify_report(*answer);
         };
-        hooks.on_done = [this, shard_key, id = upstream.id, status,
-                         body](std::error_code error, bool) {
+        hooks.on_done = [this, shard_key, id = upstream.id,
+                         answer](std::error_code error, bool) {
             if (!error) {
-                this->on_room_report(shard_key, id, *status, *body);
+                this->on_room_report(shard_key, id, *answer);
             }
         };
         auto options = http1::call_options();
@@ -68,13 +81,12 @@
 
 auto stage_dispatcher::on_room_report(const dispatch::shard& shard_key,
                                       const core::upstream_id& upstream,
-                                      int status, const std::string& body)
-    -> void
+                                      const call_answer& report) -> void
 {
-    constexpr auto ok_status = 200;
     const auto found = this->owned_shards.find(shard_key);
-    const auto room = adapter::decode_free_room(body);
-    if (found == this->owned_shards.end() || status != ok_status || !room) {
+    const auto room = adapter::decode_free_room(report.body);
+    if (found == this->owned_shards.end() ||
+        report.verdict.status != ok_status || !room) {
         return;
     }
     const auto unknown = found->second->queue.on_room_reported(
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -14,6 +14,7 @@
 constexpr auto plain_time = core::milliseconds(3);
 constexpr auto event_gap = core::milliseconds(4);
 constexpr auto call_time = core::milliseconds(5);
+constexpr auto stage_run_path = "/almondtiller/stage-run";
 /// Time from the receipt of a prompt that crashes the upstream to the crash.
 constexpr auto crash_delay = core::milliseconds(200);
 /// How long a crashed upstream accepts no connections.
@@ -295,7 +296,7 @@
     if (this->mode == upstream_mode::hangs) {
         this->held.push_back(exchange);
     }
-    if (request.target == "/almondtiller/stage-run") {
+    if (request.target == stage_run_path) {
         this->run_stage(request, exchange);
         return;
     }
@@ -465,6 +466,9 @@
         if (this->mode == upstream_mode::answers_twice) {
             exchange->send_late(200, {{"Content-Type", "application/json"}},
                                 text);
+        } else if (this->mode == upstream_mode::repeats_stage_answers) {
+            exchange->send_late(200, {{"Content-Type", "application/json"}},
+                                text, stage_run_path);
         }
         this->send_answer(
             this->with_limit({{"Content-Type", "application/json"}}), text,
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -26,6 +26,8 @@
     pauses_streams, ///< Sends nothing for a while in the middle of a stream.
     answers_late,   ///< Sends answers other than streams after a while.
     answers_twice,  ///< Sends each stage answer again before the next answer.
+    /// Sends each stage answer again before the next stage answer.
+    repeats_stage_answers,
     /// Rejects its first request for a lost input, sends that answer again
     /// before the next one, and works from then on.
     rejects_twice,
--- a/tests/fakes/gateway_world/raw_server.cpp
+++ b/tests/fakes/gateway_world/raw_server.cpp
@@ -66,10 +66,11 @@
         this->stream->write(std::move(bytes));
     }
 
-    /// Sends bytes when the next request has arrived.
-    auto write_late(std::string bytes) -> void
+    /// Sends bytes when the next request with this target has arrived.
+    auto write_late(std::string bytes, std::string target) -> void
     {
         this->late = std::move(bytes);
+        this->late_target = std::move(target);
     }
 
     [[nodiscard]] auto pending_bytes() const -> std::size_t
@@ -115,7 +116,10 @@
         if (error) {
             this->close();
         } else if (request) {
-            this->write(std::exchange(this->late, {}));
+            if (this->late_target.empty() ||
+                this->late_target == request->target) {
+                this->write(std::exchange(this->late, {}));
+            }
             this->current =
                 std::make_shared<raw_exchange>(this->shared_from_this());
             this->on_request(std::move(*request), this->current);
@@ -135,6 +139,7 @@
     std::function<void()> closed;
     http1::request_parser parser;
     std::string late;
+    std::string late_target;
     std::shared_ptr<raw_exchange> current;
 };
 
@@ -193,12 +198,13 @@
 }
 
 auto raw_exchange::send_late(int status, const http1::header_list& headers,
-                             std::string_view body) -> void
+                             std::string_view body, std::string target) -> void
 {
     if (this->connection) {
         this->connection->write_late(
             answer_head(status, headers) + "Content-Length: " +
-            std::to_string(body.size()) + "\r\n\r\n" + std::string(body));
+                std::to_string(body.size()) + "\r\n\r\n" + std::string(body),
+            std::move(target));
     }
 }
 
--- a/tests/fakes/gateway_world/raw_server.h
+++ b/tests/fakes/gateway_world/raw_server.h
@@ -41,8 +41,9 @@
     auto finish() -> void;
 
     /// Makes the connection send an answer before that to its next request.
+    /// \param target Waits for a request with this target; any if empty.
     auto send_late(int status, const http1::header_list& headers,
-                   std::string_view body) -> void;
+                   std::string_view body, std::string target = {}) -> void;
 
     /// Closes the connection within the answer, with a reset if the answer
     /// would look complete otherwise.
--- a/tests/unit/dispatch/stage_queue_test.cpp
+++ b/tests/unit/dispatch/stage_queue_test.cpp
@@ -177,31 +177,6 @@
     EXPECT_EQ(effects.outcomes[0].handles.size(), 3U);
 }
 
-// An upstream sends the answer to the first call again in place of that to the
-// second.
-TEST_F(stage_queue_test, an_earlier_answer_cannot_be_that_to_a_later_call)
-{
-    auto sent = std::vector<std::vector<serving::stage_result>>();
-    auto last = stage_call();
-    for (auto ticket = 1U; ticket <= 2; ++ticket) {
-        this->queue.submit(this->work(ticket, 2, milliseconds(900)), this->now);
-        const auto calls = this->take_calls();
-        ASSERT_EQ(calls.size(), 1U);
-        last = calls[0];
-        sent.push_back(this->results(last));
-        EXPECT_TRUE(this->queue.can_be_answer(last.id, sent.back()));
-        if (ticket == 1) {
-            this->queue.on_results(last.id, sent.back(), this->now);
-        }
-    }
-    EXPECT_FALSE(this->queue.can_be_answer(last.id, sent.front()));
-    EXPECT_FALSE(this->queue.can_be_answer(
-        last.id, {sent.back().front(), sent.front().front()}));
-    EXPECT_FALSE(this->queue.can_be_answer(
-        last.id, {sent.back().front(), sent.back().front()}));
-    EXPECT_FALSE(this->queue.can_be_answer(last.id, {sent.back().front()}));
-}
-
 TEST_F(stage_queue_test, fills_calls_with_pieces_of_many_requests)
 {
     for (auto ticket = 1U; ticket <= 3; ++ticket) {
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1469,6 +1469,57 @@
     this->expect_no_faults();
 }
 
+// The upstreams of a stage send each answer again before the next, and their
+// number goes to that from which a service has a shard in each zone, and back.
+// Guards against a copy that arrives for another shard than its original and
+// gives a request the results of another.
+TEST_F(whole_path_test, results_of_another_call_are_not_used_by_other_shards)
+{
+    constexpr auto upstreams_to_shard = std::size_t(24);
+    // One node owns all shards and keeps its connections across the changes.
+    this->nodes.resize(1);
+    const auto add_feed = [this](std::size_t number) {
+        const auto zone = std::string(number % 2 == 0 ? "a" : "b");
+        auto& added = this->world.add_upstream(
+            "feed-" + zone + std::to_string(number), "feed", zone);
+        added.set_mode(upstream_mode::repeats_stage_answers);
+    };
+    for (const auto* name : {"feed-a", "feed-b"}) {
+        this->world.upstreams[name]->set_mode(
+            upstream_mode::repeats_stage_answers);
+    }
+    for (auto number = std::size_t(2); number + 1 < upstreams_to_shard;
+         ++number) {
+        add_feed(number);
+    }
+    this->wait_for_upstreams("feed", upstreams_to_shard - 1);
+    // The pieces of a request fill a call, so that all answers look alike.
+    this->caller.set_pieces("8,1");
+    auto served = 0;
+    const auto send_requests = [this, &served]() {
+        auto records = std::vector<const call_record*>();
+        for (auto number = std::size_t(0); number < upstreams_to_shard;
+             ++number) {
+            records.push_back(
+                &this->caller.call(this->nodes[0]->settings.front, "staged"));
+        }
+        for (const auto* record : records) {
+            EXPECT_TRUE(this->caller.wait(*record));
+            served += record->status == 200 ? 1 : 0;
+        }
+    };
+    send_requests();
+    add_feed(upstreams_to_shard);
+    this->wait_for_upstreams("feed", upstreams_to_shard);
+    send_requests();
+    this->world.crash_upstream("feed-a" + std::to_string(upstreams_to_shard));
+    this->wait_for_upstreams("feed", upstreams_to_shard - 1);
+    send_requests();
+    EXPECT_GT(served, 0);
+    EXPECT_EQ(this->world.journal.violations, std::vector<std::string>());
+    this->expect_no_faults();
+}
+
 // An upstream rejects a request for a lost input, gets it again, and sends a
 // copy of the rejection before the true answer. Guards against a request that
 // runs twice because the copy is taken for the answer to the second attempt.
--- a/tests/unit/http1/connection_test.cpp
+++ b/tests/unit/http1/connection_test.cpp
@@ -85,6 +85,27 @@
         this->run_until([this]() { return this->outcome.has_value(); });
     }
 
+    /// Makes a call whose answer has an identity.
+    auto call_and_identify(const answer_identity& identity,
+                           const std::string& expected_value = {}) -> void
+    {
+        this->outcome.reset();
+        auto hooks = pool_hooks();
+        hooks.identify = [identity]() {
+            return identity;
+        };
+        hooks.on_done = [this](auto error, bool) {
+            this->outcome = error;
+        };
+        auto call_options = http1::call_options();
+        call_options.expected_value = expected_value;
+        this->active = this->pool.call(
+            {"server", {"127.0.0.1", std::uint16_t(this->listener.port())}},
+            "GET /x HTTP/1.1\r\nHost: a\r\n\r\n", call_options,
+            std::move(hooks));
+        this->run_until([this]() { return this->outcome.has_value(); });
+    }
+
     /// Sends bytes on a connection of their own.
     auto write_raw(std::string bytes) -> void
     {
@@ -361,6 +382,88 @@
     EXPECT_EQ(this->pool.opened(), 2U);
 }
 
+// A server sends an answer again, some calls later. Guards against a copy that
+// is taken for the answer to another call.
+TEST_F(connection_test, an_answer_with_known_values_is_a_copy)
+{
+    this->call_and_identify({{"a", "b"}});
+    this->call_and_identify({{"c"}});
+    EXPECT_FALSE(*this->outcome);
+    EXPECT_EQ(this->pool.opened(), 1U);
+    this->call_and_identify({{"d", "a"}});
+    EXPECT_EQ(*this->outcome, http1_errc::repeated_answer);
+    // The true answer may still come on the connection of the copy.
+    this->call_and_identify({{"d", "a"}});
+    EXPECT_FALSE(*this->outcome);
+    EXPECT_EQ(this->pool.opened(), 2U);
+    this->call_and_identify({{"e", "e"}});
+    EXPECT_EQ(*this->outcome, http1_errc::repeated_answer);
+}
+
+TEST_F(connection_test, an_answer_of_another_kind_ends_its_connection)
+{
+    auto foreign = answer_identity{{"a"}};
+    foreign.is_possible = false;
+    this->call_and_identify(foreign);
+    EXPECT_EQ(*this->outcome, http1_errc::foreign_answer);
+    this->call_and_identify({{"a"}});
+    EXPECT_FALSE(*this->outcome);
+    EXPECT_EQ(this->pool.opened(), 2U);
+}
+
+// Guards against a copy of an answer that nothing identifies.
+TEST_F(connection_test, an_unidentified_answer_is_the_last_of_its_connection)
+{
+    this->call_and_identify({{"a"}});
+    this->call_and_identify({});
+    EXPECT_FALSE(*this->outcome);
+    EXPECT_EQ(this->pool.opened(), 1U);
+    auto harmless = answer_identity();
+    harmless.is_interchangeable = true;
+    this->call_and_identify(harmless);
+    this->call_and_identify(harmless);
+    EXPECT_FALSE(*this->outcome);
+    EXPECT_EQ(this->pool.opened(), 2U);
+}
+
+// A request goes to the same server again. Guards against a copy of the first
+// answer, which has the same id as the second.
+TEST_F(connection_test, a_repeated_call_uses_a_connection_without_its_answer)
+{
+    this->call_and_identify({{"r1"}}, "r1");
+    this->call_and_identify({{"r2"}}, "r2");
+    EXPECT_EQ(this->pool.opened(), 1U);
+    this->call_and_identify({{"r1"}}, "r1");
+    EXPECT_FALSE(*this->outcome);
+    EXPECT_EQ(this->pool.opened(), 2U);
+    // Both connections are idle, and the newer one has carried r1 only.
+    this->call_and_identify({{"r2"}}, "r2");
+    EXPECT_FALSE(*this->outcome);
+    this->call_and_identify({{"r3"}}, "r3");
+    EXPECT_EQ(this->pool.opened(), 2U);
+}
+
+// Guards against a connection whose history grows without bound.
+TEST_F(connection_test, a_connection_is_replaced_when_its_history_is_full)
+{
+    constexpr auto values_per_answer = 2048;
+    auto last = 0;
+    const auto call = [this, &last]() {
+        auto identity = answer_identity();
+        for (auto count = 0; count < values_per_answer; ++count) {
+            identity.values.push_back(std::to_string(++last));
+        }
+        this->call_and_identify(identity);
+    };
+    call();
+    call();
+    EXPECT_FALSE(*this->outcome);
+    EXPECT_EQ(this->pool.opened(), 1U);
+    call();
+    EXPECT_FALSE(*this->outcome);
+    EXPECT_EQ(this->pool.opened(), 2U);
+}
+
 // A server answers early, without a length, and closes its side while it still
 // gets the request. Guards against a part of an answer that looks whole: a
 // server that was lost closes its connections in the same way.
