Keep a request limit that a copy of an answer does not state

Callers saw: an upstream that had stated a limit (Server-Limit) could get more than that.

Cause: the head of the answer to a stage call was believed when it came, before the body showed whether the answer is a copy. A copy from before the limit leaves the limit out, which ended it.

Evidence: whole_path_test.a_second_copy_of_an_answer_ends_no_limit on: no upstream is limited after the copy.

Change: what a head states is used at once, as a copy's hold-off, leaving and limit only hold requests back. What it leaves out, and the speed of the machine, counts when the answer is known to be the one to the call. Requests compare their id in the head already.

--- a/src/services/gateway/stage_dispatcher.cpp
+++ b/src/services/gateway/stage_dispatcher.cpp
@@ -185,9 +185,11 @@
             }
         });
     limit->start(stage_call_timeout);
-    hooks.on_done = [this, shard_key, call, answer,
-                     limit](std::error_code error, bool) {
+    hooks.on_done = [this, shard_key, call, answer, limit,
+                     sent_at = this->event_loop.now()](std::error_code error,
+                                                       bool) {
         limit->stop();
+        this->confirm_verdict(call.upstream.id, *answer, sent_at, error);
         this->on_call_done(shard_key, call, *answer, error);
     };
     this->open_record(*this->owned_shards[shard_key], call);
@@ -207,7 +209,7 @@
         }
     }
     this->report_verdict(upstream, verdict, sent_at);
-    if (verdict.load.slowdown_percent) {
+    if (verdict.is_genuine && verdict.load.slowdown_percent) {
         this->record_speed(upstream, *verdict.load.slowdown_percent);
     }
 }
--- a/src/services/gateway/stage_dispatcher.h
+++ b/src/services/gateway/stage_dispatcher.h
@@ -110,10 +110,16 @@
         std::optional<std::vector<serving::stage_result>> results;
     };
 
-    /// \return Hooks that keep an answer and report what its head states.
+    /// \return Hooks that keep an answer and report at once what its head
+    ///         states, as far as a copy may state it as well.
     auto keep_answer(const core::upstream_id& upstream,
                      const std::shared_ptr<call_answer>& answer)
         -> http1::pool_hooks;
+    /// Reports what a head states, and what it leaves out, unless the answer
+    /// has turned out to be a copy.
+    auto confirm_verdict(const core::upstream_id& upstream,
+                         const call_answer& answer, core::time_point sent_at,
+                         std::error_code error) -> void;
     /// Reads the results of a complete answer to a call of \a pieces pieces.
     /// \return The identity of the answer; an upstream gives each handle once.
     static auto read_results(std::size_t pieces, call_answer& answer)
--- a/src/services/gateway/stage_dispatcher_results.cpp
+++ b/src/services/gateway/stage_dispatcher_results.cpp
@@ -22,7 +22,9 @@
                         const http1::response_head& head) {
         answer->verdict = adapter::decode_verdict(head);
         answer->identity = adapter::identify_response(head);
-        this->handle_verdict(upstream, answer->verdict, sent_at);
+        auto unconfirmed = answer->verdict;
+        unconfirmed.is_genuine = false;
+        this->handle_verdict(upstream, unconfirmed, sent_at);
     };
     hooks.on_body = [answer](std::string_view bytes) {
         answer->body += bytes;
@@ -30,6 +32,22 @@
     return hooks;
 }
 
+auto stage_dispatcher::confirm_verdict(const core::upstream_id& upstream,
+                                       const call_answer& answer,
+                                       core::time_point sent_at,
+                                       std::error_code error) -> void
+{
+    const auto has_head = answer.verdict.status != 0;
+    if (!has_head || error == http1::http1_errc::foreign_answer ||
+        error == http1::http1_errc::repeated_answer) {
+        return;
+    }
+    auto confirmed = answer.verdict;
+    confirmed.hold_off = {};
+    confirmed.is_leaving = false;
+    this->handle_verdict(upstream, confirmed, sent_at);
+}
+
 auto stage_dispatcher::read_results(std::size_t pieces, call_answer& answer)
     -> http1::answer_identity
 {
@@ -99,14 +117,17 @@
         hooks.identify = [answer]() {
             return identify_free_answer(*answer);
         };
-        hooks.on_done = [this, name](std::error_code error, bool) {
-            if (error) {
-                // The upstream frees the results when their lifetime ends.
-                this->log.write(
-                    severity::notice, "free_failed",
-                    {{"service", name.str()}, {"error", error.message()}});
-            }
-        };
+        hooks.on_done =
+            [this, name, holder = id, answer,
+             sent_at = this->event_loop.now()](std::error_code error, bool) {
+                this->confirm_verdict(holder, *answer, sent_at, error);
+                if (error) {
+                    // The upstream frees the results when their lifetime ends.
+                    this->log.write(
+                        severity::notice, "free_failed",
+                        {{"service", name.str()}, {"error", error.message()}});
+                }
+            };
         auto options = http1::call_options();
         options.connect_limit = connect_timeout;
         options.longest = stage_call_timeout;
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1469,6 +1469,32 @@
     this->expect_no_faults();
 }
 
+// An upstream states a limit, and sends a copy of an answer from before it.
+// Guards against a limit that ends because the copy does not state it.
+TEST_F(whole_path_test, a_second_copy_of_an_answer_ends_no_limit)
+{
+    const auto limited = [this]() {
+        return this->metric("almondtiller_gateway_limited_upstreams{"
+                            "service=\"feed\"}");
+    };
+    this->nodes.resize(1);
+    this->world.crash_upstream("feed-b");
+    this->wait_for_upstreams("feed", 1);
+    auto& feed = *this->world.upstreams["feed-a"];
+    feed.set_mode(upstream_mode::answers_twice);
+    feed.set_request_limit("20");
+    EXPECT_EQ(this->send_request("staged").status, 200);
+    ASSERT_EQ(limited(), 1);
+    feed.set_mode(upstream_mode::hangs);
+    const auto calls = this->world.journal.stage_calls;
+    this->caller.call(this->nodes[0]->settings.front, "staged");
+    // The second call follows the copy, which ended the first.
+    ASSERT_TRUE(this->world.run_until([this, calls]() {
+        return this->world.journal.stage_calls >= calls + 2;
+    }));
+    EXPECT_EQ(limited(), 1);
+}
+
 // The upstreams of a stage send each answer again before the next, and their
 // number goes to that from which a service has a shard in each zone, and back.
 // Guards against a copy that arrives for another shard than its original and
