Withhold refusals of upstreams that do not state "not run"

Callers saw: 503 for orders that an upstream had run.

Cause: the node knew whether an upstream states that it has not run a request, and not whether its callers read that from the status. An upstream's 503 without the statement was passed on unchanged.

Such an answer without the statement becomes 502, without the upstream's seal, on routes whose requests may run once only; others get it unchanged. The line refusal_withheld names the status. The tests' callers count 408 and 421 as refusals too.

--- a/src/apps/tillerctl/log_history.cpp
+++ b/src/apps/tillerctl/log_history.cpp
@@ -64,6 +64,9 @@
     reason_row{"upstream_broke_off", "attempt_broken",
                "The upstream took the request and broke the connection, and "
                "the request may not be sent again."},
+    reason_row{"refused_after_run", "refusal_withheld",
+               "The upstream answered with a status that says not run, without "
+               "stating that it has not run the request."},
     reason_row{"no_upstream_for_repeat", "attempt_broken",
                "The upstream failed, and no other one or no retry budget was "
                "left."},
--- a/src/libs/serving/request.h
+++ b/src/libs/serving/request.h
@@ -75,6 +75,9 @@
     int status = 0;
     /// Whether the upstream states that it did not run the request.
     bool not_run = false;
+    /// Whether callers take the status for a statement that the request has not
+    /// run, whatever the upstream states.
+    bool is_refusal = false;
     /// The request that the response belongs to; empty if not stated.
     core::request_id request;
     /// Whether the response has the seal field, which upstreams set on success.
--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -316,6 +316,16 @@
         this->caller->abort();
         this->finish("broken_off", severity::failure, "upstream_error", status);
         return;
+    } else if (this->verdict.is_refusal && !this->is_retryable()) {
+        // The upstream may have run the request, which its caller would send
+        // again.
+        this->shared.log.write(severity::notice, "refusal_withheld",
+                               {{"request", this->request.id.str()},
+                                {"upstream", this->last_upstream.str()},
+                                {"status", std::to_string(status)},
+                                {"elapsed_ms", this->elapsed_ms()}});
+        this->fail(bad_gateway, "refused_after_run");
+        return;
     } else {
         this->caller->respond(status, adapter::answer_headers(*this->head),
                               this->body);
--- a/tests/fakes/gateway_world/fake_upstream.cpp
+++ b/tests/fakes/gateway_world/fake_upstream.cpp
@@ -112,6 +112,11 @@
     this->failing_every = count;
 }
 
+auto fake_upstream::set_failure_status(int status) -> void
+{
+    this->failure_status = status;
+}
+
 auto fake_upstream::set_slowness(int factor) -> void
 {
     this->slowness = factor;
@@ -328,6 +333,10 @@
         exchange->respond(500, this->answer_head(id), "");
         return;
     }
+    if (this->failure_status != 0) {
+        exchange->respond(this->failure_status, this->answer_head(id), "");
+        return;
+    }
     const auto prompt = request.headers.find("X-Almondtiller-Prompt-Prefix");
     const auto is_fatal =
         (!this->fatal_part.empty() && has_part(prompt, this->fatal_part)) ||
--- a/tests/fakes/gateway_world/fake_upstream.h
+++ b/tests/fakes/gateway_world/fake_upstream.h
@@ -113,6 +113,10 @@
     /// Makes one in \a count answers a failure with status 500; none if 0.
     auto set_failing_every(int count) -> void;
 
+    /// Makes the upstream answer every request with this status after it has
+    /// run it, without stating that it has not; never if 0.
+    auto set_failure_status(int status) -> void;
+
     /// Makes answers take this many times as long.
     auto set_slowness(int factor) -> void;
 
@@ -211,6 +215,7 @@
     std::string own_version = "v1";
     int failing_every = 0;
     int served = 0;
+    int failure_status = 0;
     int slowness = 1;
     std::optional<answer_framing> framing;
     bool is_leaving = false;
--- a/tests/fakes/gateway_world/world_caller.cpp
+++ b/tests/fakes/gateway_world/world_caller.cpp
@@ -152,7 +152,9 @@
     }
     for (const auto& record : this->calls) {
         const auto ran = runs.contains(record->id) ? runs[record->id] : 0;
-        const auto is_refusal = record->status == 503 || record->status == 429;
+        const auto is_refusal = record->status == 503 ||
+                                record->status == 429 ||
+                                record->status == 421 || record->status == 408;
         if (!is_repeatable(record->path) && ran > 1) {
             found.push_back(record->id + " (" + record->path + ") ran twice");
         }
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1603,6 +1603,24 @@
     this->expect_no_faults();
 }
 
+// Upstreams run requests and fail with a status that tells callers that their
+// request has not run. Guards against requests that are refused and have run.
+TEST_F(whole_path_test, an_upstreams_refusal_of_what_it_ran_is_withheld)
+{
+    for (const auto status : {408, 429, 503}) {
+        for (const auto& [id, upstream] : this->world.upstreams) {
+            upstream->set_failure_status(status);
+        }
+        for (const auto* path : {"book", "stream", "staged"}) {
+            const auto& record = this->send_request(path);
+            EXPECT_EQ(record.status, 502) << path << status;
+            EXPECT_FALSE(record.is_sealed) << path << status;
+        }
+        EXPECT_EQ(this->send_request("read").status, status);
+    }
+    this->expect_no_faults();
+}
+
 // Guards against stage calls with an empty key for callers that omit a stage.
 TEST_F(whole_path_test, pieces_after_an_omitted_stage_have_the_callers_key)
 {
