Do not refuse a request that has run after many rejections

Callers saw: 503 for a request on a route that allows repeats which had run at one upstream, failed there, and was then turned away by more than four others. 503 says that it has not run.

Cause: the end after too many rejections refused without looking at the attempts that may have run, which every other end does.

Evidence: whole_path_test.a_request_that_has_run_is_not_refused_after_rejections on: 503 in place of 502.

Change: it ends as every other search without an upstream does (give_up): 503 if nothing has run, 502 otherwise.

Result: the test passes.

--- a/src/services/gateway/request_attempt.cpp
+++ b/src/services/gateway/request_attempt.cpp
@@ -270,11 +270,7 @@
         return;
     }
     if (this->rejections > max_retried_rejections) {
-        if (this->caller->is_started()) {
-            this->give_up("turned_away", min_retry_delay);
-        } else {
-            this->reject("turned_away", min_retry_delay);
-        }
+        this->give_up("turned_away", min_retry_delay);
         return;
     }
     this->shared.metrics.count_retry("turned_away");
--- a/tests/unit/gateway/whole_path_test.cpp
+++ b/tests/unit/gateway/whole_path_test.cpp
@@ -1621,6 +1621,31 @@
     this->expect_no_faults();
 }
 
+// An upstream fails a request that it has run, and many others turn it away.
+// Guards against a refusal that says that the request has not run.
+TEST_F(whole_path_test, a_request_that_has_run_is_not_refused_after_rejections)
+{
+    constexpr auto desks = 8;
+    for (auto number = 2; number < desks; ++number) {
+        this->world.add_upstream("desk-" + std::to_string(number), "desk", "a");
+    }
+    this->wait_for_upstreams("desk", desks);
+    for (const auto& [id, upstream] : this->world.upstreams) {
+        upstream->set_failure_status(500);
+    }
+    const auto& record =
+        this->caller.call(this->nodes[0]->settings.front, "read");
+    ASSERT_TRUE(this->world.run_until(
+        [this]() { return !this->world.journal.runs.empty(); }));
+    for (const auto& [id, upstream] : this->world.upstreams) {
+        upstream->set_mode(upstream_mode::rejects_all);
+    }
+    EXPECT_TRUE(this->caller.wait(record));
+    EXPECT_EQ(this->world.journal.runs.size(), 1U);
+    EXPECT_GT(this->world.journal.arrivals.size(), 5U);
+    EXPECT_EQ(record.status, 502);
+}
+
 // Guards against stage calls with an empty key for callers that omit a stage.
 TEST_F(whole_path_test, pieces_after_an_omitted_stage_have_the_callers_key)
 {
