Soak with copies of stage answers and refusals of what has run

Change: stage upstreams send answers again before the next ones, and upstreams answer 408, 429 or 503 to what they have run. Both are drawn apart from the other faults, so that a seed draws those as before.

--- a/tests/fault/soak/soak_test.cpp
+++ b/tests/fault/soak/soak_test.cpp
@@ -63,6 +63,7 @@
                       std::map<std::string, double> stated = {})
         : random(seed),
           silence_random(~seed),
+          answer_random(seed + 1),
           limits(std::move(stated)),
           folder((std::filesystem::temp_directory_path() /
                   ("almondtiller-soak-" + std::to_string(seed)))
@@ -112,6 +113,12 @@
             if (this->silence_random.below(faults_per_pause) == 0) {
                 this->stand_still();
             }
+            if (this->answer_random.below(faults_per_pause) == 0) {
+                this->send_copies();
+            }
+            if (this->answer_random.below(faults_per_pause) == 0) {
+                this->refuse_after_run();
+            }
             this->world.run_for(
                 core::milliseconds(80 + this->random.below(350)));
             this->run_due();
@@ -447,6 +454,51 @@
         });
     }
 
+    /// A faulty upstream of a stage sends its answers again, late.
+    auto send_copies() -> void
+    {
+        static const auto names =
+            std::array{"feed-a", "feed-b", "map-a", "map-b"};
+        const auto* name = names[this->answer_random.below(names.size())];
+        const auto found = this->world.upstreams.find(name);
+        const auto time = this->answer_time();
+        if (found != this->world.upstreams.end()) {
+            this->disturb(*found->second, time);
+            found->second->set_mode(upstream_mode::repeats_stage_answers);
+        }
+        this->later(time, [this, name]() {
+            const auto open = this->world.upstreams.find(name);
+            if (open != this->world.upstreams.end()) {
+                open->second->set_mode(upstream_mode::works);
+            }
+        });
+    }
+
+    /// A faulty upstream answers requests that it has run with a status that
+    /// refuses them.
+    auto refuse_after_run() -> void
+    {
+        static constexpr auto statuses = std::array{408, 429, 503};
+        auto chosen = this->world.upstreams.begin();
+        std::advance(chosen,
+                     this->answer_random.below(this->world.upstreams.size()));
+        const auto time = this->answer_time();
+        this->disturb(*chosen->second, time);
+        chosen->second->set_failure_status(
+            statuses[this->answer_random.below(statuses.size())]);
+        this->later(time, [this, id = chosen->first]() {
+            const auto open = this->world.upstreams.find(id);
+            if (open != this->world.upstreams.end()) {
+                open->second->set_failure_status(0);
+            }
+        });
+    }
+
+    auto answer_time() -> core::milliseconds
+    {
+        return core::milliseconds(500 + this->answer_random.below(2001));
+    }
+
     auto set_any_framing(gateway_world::fake_upstream& upstream) -> void
     {
         static const auto framings =
@@ -503,6 +555,7 @@
         this->world.store.remove("evacuations", "b");
         for (auto& [id, upstream] : this->world.upstreams) {
             upstream->set_mode(upstream_mode::works);
+            upstream->set_failure_status(0);
             upstream->go_on();
         }
         for (auto& [name, link] : this->proxies) {
@@ -594,6 +647,8 @@
     /// Apart from the other, so that a seed draws the same faults as without
     /// these silences.
     core::random_source silence_random;
+    /// The same for faulty answers.
+    core::random_source answer_random;
     std::map<std::string, double> limits;
     core::time_point limits_bind_from;
     limit_check limit_checks;
